--- a/internal/agreement/hingegroup/bring.go
+++ b/internal/agreement/hingegroup/bring.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,6 +18,10 @@
 // bringEvery is the time between attempts to found, to pass on the founding, or to join.
 const bringEvery = 250 * time.Millisecond
 
+// replacedAfter is how many election times without a leader make a member ask
+// whether it still is one. An ordinary election is over within three.
+const replacedAfter = 4
+
 // emptiness is a host's answer to whether its disk is empty.
 type emptiness struct {
 	Member hingelog.Member `cbor:"1,keyasint"`
@@ -27,8 +32,13 @@
 func (g *Group) bring(ctx context.Context) {
 	ticker := time.NewTicker(bringEvery)
 	defer ticker.Stop()
+	led := g.settings.Clock()
 	for {
 		s := g.Standing()
+		now := g.settings.Clock()
+		if !s.Leader.IsZero() {
+			led = now
+		}
 		switch {
 		case s.Last == 0 && !g.tryFound(ctx):
 			g.askToJoin(ctx)
@@ -36,6 +46,10 @@
 			g.passFounding(ctx)
 		case s.Last > 1 && !s.Members.Has(s.Self):
 			g.askToJoin(ctx)
+		case g.settings.Open && now.Sub(led) > replacedAfter*g.settings.Election:
+			// The others may have replaced this member while it was away (hingelog
+			// rule 13). Its own log says otherwise, and nobody sends it more.
+			g.askToJoin(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -49,7 +63,7 @@
 func (g *Group) tryFound(ctx context.Context) bool {
 	hosts := slices.Clone(g.settings.Hosts)
 	slices.Sort(hosts)
-	if len(hosts) == 0 || hosts[0] != g.settings.Self {
+	if g.settings.Joins || len(hosts) == 0 || hosts[0] != g.settings.Self {
 		return false
 	}
 	var voters []hingelog.Member
@@ -162,14 +176,19 @@
 
 // askToJoin asks all hosts; the one that leads takes this one in as a learner.
 func (g *Group) askToJoin(ctx context.Context) {
-	for _, h := range g.settings.Hosts {
+	one, stop := context.WithTimeout(ctx, g.settings.Election)
+	defer stop()
+	var calls sync.WaitGroup
+	for _, h := range g.hosts() {
 		if h == g.settings.Self {
 			continue
 		}
-		one, stop := context.WithTimeout(ctx, g.settings.Election)
-		_, _ = g.link.Call(one, h, g.method("join"), encode(g.member.self))
-		stop()
+		calls.Go(func() {
+			// Only the leader says yes; this host hears of it by the log.
+			_, _ = g.link.Call(one, h, g.method("join"), encode(g.member.self))
+		})
 	}
+	calls.Wait()
 }
 
 func (g *Group) onJoin(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
@@ -188,7 +207,7 @@
 
 // join takes in a newer disk of a host that is a member, or an admitted host.
 func (m *member) join(now time.Time, x hingelog.Member) error {
-	known := m.admitted[string(x.Host)]
+	known := m.admitted[string(x.Host)] || m.group.settings.Open
 	for _, o := range m.log.Standing().Members.All() {
 		if o.Host == x.Host && o.Disk > x.Disk {
 			return eris.Errorf("host %s has had a newer disk", x.Host)
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,12 +32,21 @@
 	Self hingeids.HostID
 	// Hosts are those with a disk, from the settings of the process.
 	Hosts []hingeids.HostID
+	// Open lets any host with a disk join. Hosts are then only where to ask first.
+	Open bool
+	// Joins keeps this host from founding the group: it was founded before.
+	Joins bool
+	// Voters is how many of the hosts are to vote; zero is all (hingelog rule 13).
+	Voters int
 	// Election and Heartbeat are those of hingelog; zero takes its defaults.
 	Election  time.Duration
 	Heartbeat time.Duration
 	// CompactAfter is the number of entries between snapshots; zero is 4096.
 	CompactAfter int
-	Clock        func() time.Time
+	// Clock is what leases are judged by. Where hosts can be suspended it counts that time.
+	Clock func() time.Time
+	// Today is the time of day, from which a new disk takes its incarnation; nil is Clock.
+	Today func() time.Time
 	// Seed differs from start to start.
 	Seed     uint64
 	Recorder *hingeevents.Recorder
@@ -58,6 +68,9 @@
 	if s.Heartbeat == 0 {
 		s.Heartbeat = hingelog.DefaultHeartbeat
 	}
+	if s.Today == nil {
+		s.Today = s.Clock
+	}
 	if s.CompactAfter == 0 {
 		s.CompactAfter = defaultCompactAfter
 	}
@@ -84,7 +97,9 @@
 	standing hingeboard.Cell[Standing]
 	hint     hingeboard.Cell[belief]
 	senders  *senders
-	done     chan struct{}
+	// met are hosts to ask beside those of the settings.
+	met  hingeboard.Cell[[]hingeids.HostID]
+	done chan struct{}
 }
 
 // New opens a host's part and sets its handlers at the link. Without files the
@@ -111,6 +126,26 @@
 	return g, nil
 }
 
+// Meet names hosts to ask for the group beside those of the settings, which may
+// have become old while the process runs.
+func (g *Group) Meet(hosts []hingeids.HostID) {
+	list := slices.Clone(hosts)
+	g.met.Store(&list)
+}
+
+// hosts gives all hosts that are known to have a part, or to know who has.
+func (g *Group) hosts() []hingeids.HostID {
+	list := slices.Clone(g.settings.Hosts)
+	if met := g.met.Load(); met != nil {
+		list = append(list, *met...)
+	}
+	for _, m := range g.Standing().Members.All() {
+		list = append(list, m.Host)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // Standing gives the host's part as it is now.
 func (g *Group) Standing() Standing {
 	return *g.standing.Load()
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -16,6 +16,7 @@
 type member struct {
 	group   *Group
 	self    hingelog.Member
+	files   hingejournal.Files
 	journal *hingejournal.Journal
 	log     *hingelog.Log
 	stored  hingelog.Stored
@@ -44,31 +45,68 @@
 
 func openMember(g *Group, files hingejournal.Files) (*member, error) {
 	now := g.settings.Clock()
-	j, found, err := hingejournal.Open(files, g.settings.Self, g.settings.Name, now)
-	if err != nil {
-		return nil, err
-	}
 	m := &member{
-		group: g,
-		self: hingelog.Member{
-			Host: g.settings.Self,
-			Disk: found.Identity.Disk,
-		},
-		journal:  j,
+		group:    g,
+		files:    files,
 		waiters:  make(map[hingelog.Index]waiter),
 		admitted: make(map[string]bool),
 	}
-	m.stored, err = restoreStored(found)
-	if err != nil {
+	if err := m.open(now); err != nil {
 		return nil, err
 	}
+	return m, m.begin(now)
+}
+
+// open reads what the disk holds.
+func (m *member) open(now time.Time) error {
+	s := m.group.settings
+	j, found, err := hingejournal.Open(m.files, s.Self, s.Name, s.Today())
+	if err != nil {
+		return err
+	}
+	stored, err := restoreStored(found)
+	if err != nil {
+		_ = j.Close()
+		return err
+	}
+	m.self = hingelog.Member{
+		Host: s.Self,
+		Disk: found.Identity.Disk,
+	}
+	m.journal = j
+	m.stored = stored
 	if found.Cut > 0 {
-		g.settings.Recorder.Record(now, hingeevents.JournalCut, hingeevents.Fields{
+		s.Recorder.Record(now, hingeevents.JournalCut, hingeevents.Fields{
 			Count:  int64(found.Cut),
-			Detail: g.settings.Name,
+			Detail: s.Name,
 		})
 	}
-	return m, m.begin(now)
+	return nil
+}
+
+// reopenEvery is the time between attempts to use a disk again that refused a
+// write. A full disk has room again when somebody has seen to it.
+const reopenEvery = 250 * time.Millisecond
+
+// reopen begins anew from what the disk holds, once it takes writes again. What
+// the refused write left there is unknown, so nothing of the memory is kept; meanwhile this host
+// neither leads nor votes, and the others go on without it.
+func (m *member) reopen(ctx context.Context) error {
+	m.endWaiters()
+	m.group.standing.Store(&Standing{})
+	for {
+		_ = m.journal.Close()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(reopenEvery):
+		}
+		now := m.group.settings.Clock()
+		if err := m.open(now); err != nil {
+			continue
+		}
+		return m.begin(now)
+	}
 }
 
 func restoreStored(found hingejournal.Found) (hingelog.Stored, error) {
@@ -123,6 +161,8 @@
 		Election:  s.Election,
 		Heartbeat: s.Heartbeat,
 		Seed:      s.Seed,
+		Voters:    s.Voters,
+		Silence:   hingelog.DefaultSilence,
 	}, m.stored)
 	m.stored.Entries = nil
 	m.publish(now)
@@ -149,7 +189,10 @@
 		m.proposeBatch(now)
 		m.log.Flush(now)
 		if err := m.settle(); err != nil {
-			return err
+			if err := m.reopen(ctx); err != nil {
+				return err
+			}
+			continue
 		}
 		if m.log.Forgetful() {
 			return ErrForgetfulDisk
--- a/internal/agreement/hingegroup/propose.go
+++ b/internal/agreement/hingegroup/propose.go
@@ -139,8 +139,9 @@
 func (g *Group) look(ctx context.Context) hingeids.HostID {
 	one, stop := context.WithTimeout(ctx, g.settings.Election)
 	defer stop()
-	found := make(chan sight, len(g.settings.Hosts))
-	for _, h := range g.settings.Hosts {
+	hosts := g.hosts()
+	found := make(chan sight, len(hosts))
+	for _, h := range hosts {
 		go func() {
 			o, err := g.askHost(one, h, "read", nil)
 			switch {
@@ -158,7 +159,7 @@
 		}()
 	}
 	pointer := hingeids.HostID("")
-	for range g.settings.Hosts {
+	for range hosts {
 		s := <-found
 		if s.leads != "" {
 			return s.leads
--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -39,4 +39,11 @@
 //     own, its disk is an older copy: it stops with ForgetfulDisk. This is a guard beside
 //     rule 1 for copies that carry the same incarnation. It sees
 //     what those who answer have heard in this life of their process, no more.
+//  13. Where a number of voters is set, members come and go without an operator. A
+//     learner that holds everything is promoted while votes are free, and else takes the vote of a
+//     voter that the leader hasn't heard for a while: a host that was replaced at
+//     another address never returns, and until its vote is taken away the
+//     next loss would leave no quorum. Votes are taken away only for a
+//     learner that stands ready. A learner that isn't heard for long is dropped;
+//     whoever was dropped wrongly asks to join again.
 package hingelog
--- a/internal/agreement/hingelog/members.go
+++ b/internal/agreement/hingelog/members.go
@@ -17,6 +17,10 @@
 	Remove
 )
 
+// lostAfter is how many times the silence of rule 13 makes a learner lost: a
+// learner costs only its messages, so there is no hurry.
+const lostAfter = 3
+
 // Change of members.
 type Change struct {
 	Kind   ChangeKind `cbor:"1,keyasint"`
@@ -177,6 +181,14 @@
 	if len(l.current().Learners) == 0 || !l.MayLead(now) {
 		return
 	}
+	if x, ok := l.lostLearner(now); ok {
+		// A pending change is no failure: the next tick tries again.
+		_ = l.Reconfigure(now, Change{
+			Kind:   Remove,
+			Member: x,
+		})
+		return
+	}
 	for _, x := range l.current().Learners {
 		if c, due := l.repairStep(now, x); due {
 			// A pending change is no failure: the next tick tries again.
@@ -208,8 +220,47 @@
 			}, true
 		}
 	}
-	return Change{
-		Kind:   Promote,
-		Member: x,
-	}, true
+	return l.seat(now, x)
+}
+
+// seat promotes a learner if a vote is free, or frees the one of a silent voter. Rule 13.
+func (l *Log) seat(now time.Time, x Member) (Change, bool) {
+	if l.settings.Voters == 0 || len(l.current().Voters) < l.settings.Voters {
+		return Change{
+			Kind:   Promote,
+			Member: x,
+		}, true
+	}
+	for _, m := range l.current().Voters {
+		if m != l.settings.Self && l.silentFor(now, m) > l.settings.Silence {
+			return Change{
+				Kind:   Remove,
+				Member: m,
+			}, true
+		}
+	}
+	return Change{}, false
+}
+
+// silentFor is how long a member hasn't answered this leader, at most since it leads.
+func (l *Log) silentFor(now time.Time, m Member) time.Duration {
+	heard := l.ledSince
+	if p := l.progressOf(m); p.ackedSend.After(heard) {
+		heard = p.ackedSend
+	}
+	return now.Sub(heard)
+}
+
+// lostLearner finds a learner that isn't coming back, where hosts join by
+// themselves: one that does come back asks to join again. Rule 13.
+func (l *Log) lostLearner(now time.Time) (Member, bool) {
+	if l.settings.Voters == 0 {
+		return Member{}, false
+	}
+	for _, m := range l.current().Learners {
+		if l.silentFor(now, m) > lostAfter*l.settings.Silence {
+			return m, true
+		}
+	}
+	return Member{}, false
 }
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -226,6 +226,10 @@
 	// Seed makes the random part of rule 3 and the round of rule 12. It differs from
 	// start to start.
 	Seed uint64
+	// Voters is how many members are to vote, an odd number; zero is as many as join (rule 13).
+	Voters int
+	// Silence is how long a voter may be unheard before a learner takes its place (rule 13).
+	Silence time.Duration
 }
 
 // DefaultElection and DefaultHeartbeat suit zones a few milliseconds apart and
@@ -236,6 +240,10 @@
 	DefaultHeartbeat = 120 * time.Millisecond
 )
 
+// DefaultSilence is longer than a process takes to restart, some three seconds
+// with its check-in, and short beside the time between two losses.
+const DefaultSilence = 5 * time.Second
+
 // Lease is how long a lease lasts after the send time of its heartbeat.
 func (s Settings) Lease() time.Duration {
 	return s.Election * 9 / 10
--- /dev/null
+++ b/internal/capacity/hingeplacer/messages.go
@@ -0,0 +1,74 @@
+package hingeplacer
+
+import (
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/link/hingelink"
+)
+
+const (
+	methodPlace  hingelink.Method = "placer.place"
+	methodReport hingelink.Method = "placer.report"
+)
+
+// Want is a stream that asks for engines, as it travels: times are spans, since
+// the clocks of two hosts differ.
+type Want struct {
+	Service  hingeids.Service    `cbor:"1,keyasint"`
+	ID       hingefleet.StreamID `cbor:"2,keyasint"`
+	Prompt   hingeids.Tokens     `cbor:"3,keyasint"`
+	Expected hingeids.Tokens     `cbor:"4,keyasint"`
+	// Waited is how long ago the caller's request came.
+	Waited   time.Duration       `cbor:"5,keyasint"`
+	Target   time.Duration       `cbor:"6,keyasint"`
+	Patience time.Duration       `cbor:"7,keyasint"`
+	Left     time.Duration       `cbor:"8,keyasint"`
+	Moved    bool                `cbor:"9,keyasint,omitempty"`
+	Avoid    []hingeids.ServerID `cbor:"10,keyasint,omitempty"`
+}
+
+func (w Want) wanted(now time.Time, owner hingeids.HostID) hingefleet.Want {
+	return hingefleet.Want{
+		ID:       w.ID,
+		Owner:    owner,
+		Prompt:   w.Prompt,
+		Expected: w.Expected,
+		Arrived:  now.Add(-w.Waited),
+		Target:   w.Target,
+		Patience: w.Patience,
+		Deadline: now.Add(w.Left),
+		Moved:    w.Moved,
+		Avoid:    w.Avoid,
+	}
+}
+
+// Placement is the placer's answer.
+type Placement struct {
+	Prefill hingeids.ServerID `cbor:"1,keyasint,omitempty"`
+	Decode  hingeids.ServerID `cbor:"2,keyasint,omitempty"`
+	// Refused says that nothing is granted; RetryAfter is when to come back.
+	Refused    bool          `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// NotHere says that this host doesn't place now.
+	NotHere bool `cbor:"5,keyasint,omitempty"`
+	// Alone says that the own host placed without the others' streams in sight.
+	Alone  bool          `cbor:"6,keyasint,omitempty"`
+	Waited time.Duration `cbor:"7,keyasint,omitempty"`
+	Peak   int           `cbor:"8,keyasint,omitempty"`
+}
+
+// Fault is an engine that didn't do what it was asked, or did again.
+type Fault struct {
+	Service hingeids.Service  `cbor:"1,keyasint"`
+	Server  hingeids.ServerID `cbor:"2,keyasint"`
+	Worked  bool              `cbor:"3,keyasint,omitempty"`
+}
+
+// report is all that an owner says of its streams.
+type report struct {
+	Sequence uint64                                     `cbor:"1,keyasint"`
+	Streams  map[hingeids.Service][]hingefleet.Progress `cbor:"2,keyasint,omitempty"`
+	Faults   []Fault                                    `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/capacity/hingeplacer/owner.go
@@ -0,0 +1,281 @@
+package hingeplacer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/link/hingelink"
+)
+
+const (
+	// gatherReports is how long changes are gathered into one report. A stream
+	// changes three times in its life of seconds.
+	gatherReports = 15 * time.Millisecond
+	// reportEvery is the time between reports while streams run.
+	reportEvery = 500 * time.Millisecond
+	// reportTime bounds one report; the next says the same again.
+	reportTime = time.Second
+	// reachTime is how long a placer may take to answer beyond a want's patience,
+	// before the own host places: a round trip between zones and some.
+	reachTime = 300 * time.Millisecond
+	// ownLimit is how full an engine is made by a host that places alone
+	// (rule 3), as a share of its share: the others' bursts don't add up to more.
+	ownLimit = 1.2
+)
+
+// Fleets is what an owner knows of the fleet: who places, and what to do alone.
+type Fleets interface {
+	Engines
+	// Placer names the host that places; empty if nobody is known to.
+	Placer() hingeids.HostID
+	// Entries is how many entry hosts there are.
+	Entries() int
+}
+
+// Owner is an entry host's side: it asks for placements and reports its streams.
+type Owner struct {
+	self   hingeids.HostID
+	link   hingelink.Link
+	fleets Fleets
+	clock  func() time.Time
+	alone  *Placer
+	done   chan struct{}
+	dirty  chan struct{}
+
+	mu       sync.Mutex
+	sequence uint64
+	streams  map[hingefleet.StreamID]*Stream
+	faults   []Fault
+}
+
+// Stream is one stream that this host owns.
+type Stream struct {
+	owner    *Owner
+	service  hingeids.Service
+	progress hingefleet.Progress
+}
+
+// NewOwner makes an entry host's side.
+func NewOwner(self hingeids.HostID, link hingelink.Link, f Fleets, clock func() time.Time) *Owner {
+	o := &Owner{
+		self:    self,
+		link:    link,
+		fleets:  f,
+		clock:   clock,
+		done:    make(chan struct{}),
+		dirty:   make(chan struct{}, 1),
+		streams: make(map[hingefleet.StreamID]*Stream),
+		// A new placer must hear of all streams; an old number would be passed over.
+		sequence: uint64(clock().UnixNano()),
+	}
+	o.alone = New(ownShare{
+		fleets: f,
+	}, func() bool {
+		return true
+	}, clock)
+	return o
+}
+
+// ownShare gives the engines with the share of their memory that one host may fill alone.
+type ownShare struct {
+	fleets Fleets
+}
+
+func (s ownShare) Engines() map[hingeids.Service][]hingefleet.Engine {
+	all := s.fleets.Engines()
+	part := min(ownLimit/float64(max(s.fleets.Entries(), 1)), 1)
+	out := make(map[hingeids.Service][]hingefleet.Engine, len(all))
+	for name, list := range all {
+		mine := make([]hingefleet.Engine, 0, len(list))
+		for _, e := range list {
+			e.Memory = hingeids.Tokens(part * float64(e.Memory))
+			mine = append(mine, e)
+		}
+		out[name] = mine
+	}
+	return out
+}
+
+// Done closes when Run has ended.
+func (o *Owner) Done() <-chan struct{} {
+	return o.done
+}
+
+// Place asks for engines. The context ends when the caller leaves.
+func (o *Owner) Place(ctx context.Context, w Want) Placement {
+	began := o.clock()
+	if h := o.fleets.Placer(); h != "" {
+		a, err := o.ask(ctx, h, w)
+		if err == nil && !a.NotHere {
+			return a
+		}
+	}
+	if ctx.Err() != nil {
+		return Placement{
+			Refused: true,
+		}
+	}
+	w.Waited += o.clock().Sub(began)
+	a := o.alone.Place(ctx, o.self, w)
+	a.Alone = true
+	return a
+}
+
+func (o *Owner) ask(ctx context.Context, h hingeids.HostID, w Want) (Placement, error) {
+	one, stop := context.WithTimeout(ctx, max(w.Patience-w.Waited, 0)+reachTime)
+	defer stop()
+	body, err := cbor.Marshal(w)
+	if err != nil {
+		return Placement{}, eris.Wrap(err, "a stream to be placed")
+	}
+	b, err := o.link.Call(one, h, methodPlace, body)
+	if err != nil {
+		return Placement{}, err
+	}
+	var a Placement
+	return a, eris.Wrap(cbor.Unmarshal(b, &a), "placement")
+}
+
+// Begin notes a stream that was placed.
+func (o *Owner) Begin(w Want, a Placement) *Stream {
+	s := &Stream{
+		owner:   o,
+		service: w.Service,
+		progress: hingefleet.Progress{
+			ID:       w.ID,
+			Decode:   a.Decode,
+			Prompt:   w.Prompt,
+			Expected: w.Expected,
+		},
+	}
+	o.mu.Lock()
+	o.streams[w.ID] = s
+	o.mu.Unlock()
+	o.changed()
+	return s
+}
+
+// Made notes how many tokens have come.
+func (s *Stream) Made(t hingeids.Tokens) {
+	o := s.owner
+	o.mu.Lock()
+	first := s.progress.Made == 0
+	s.progress.Made = t
+	o.mu.Unlock()
+	if first {
+		o.changed()
+	}
+}
+
+// End notes that a stream is over, however it ended.
+func (s *Stream) End() {
+	o := s.owner
+	o.mu.Lock()
+	delete(o.streams, s.progress.ID)
+	o.mu.Unlock()
+	o.changed()
+}
+
+// Tell reports that an engine failed, or worked again.
+func (o *Owner) Tell(f Fault) {
+	o.mu.Lock()
+	o.faults = append(o.faults, f)
+	o.mu.Unlock()
+	o.changed()
+}
+
+func (o *Owner) changed() {
+	select {
+	case o.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Run reports until the context ends.
+func (o *Owner) Run(ctx context.Context) error {
+	defer close(o.done)
+	inner, stop := context.WithCancel(ctx)
+	defer func() {
+		stop()
+		<-o.alone.Done()
+	}()
+	go func() {
+		// It ends with the context and never fails.
+		_ = o.alone.Run(inner)
+	}()
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	to := hingeids.HostID("")
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-o.dirty:
+			sleep(ctx, gatherReports)
+		case <-ticker.C:
+			placer := o.fleets.Placer()
+			if o.idle() && placer == to {
+				continue
+			}
+			to = placer
+		}
+		o.report(ctx)
+	}
+}
+
+func (o *Owner) idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.streams) == 0
+}
+
+func (o *Owner) report(ctx context.Context) {
+	r := o.whole()
+	o.alone.post(ctx, func(now time.Time) {
+		o.alone.take(now, o.self, r)
+	})
+	h := o.fleets.Placer()
+	if h == "" {
+		return
+	}
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		// Only our own types stand in a report, and all can be encoded.
+		panic(err)
+	}
+	one, stop := context.WithTimeout(ctx, reportTime)
+	defer stop()
+	// A report that is lost is made good by the next one, within half a second.
+	_, _ = o.link.Call(one, h, methodReport, body)
+}
+
+func (o *Owner) whole() report {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sequence++
+	r := report{
+		Sequence: o.sequence,
+		Streams:  make(map[hingeids.Service][]hingefleet.Progress),
+		Faults:   o.faults,
+	}
+	o.faults = nil
+	for _, s := range o.streams {
+		r.Streams[s.service] = append(r.Streams[s.service], s.progress)
+	}
+	return r
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/capacity/hingeplacer/placer.go
@@ -0,0 +1,265 @@
+// Package hingeplacer has one host place the streams of all entry hosts, so that
+// they don't each guess what the others have just sent to the same engine.
+//
+//  1. The host that leads the configuration group places. It is an adviser and no
+//     authority: two that place at once for a moment waste room, and break nothing.
+//  2. It keeps nothing on disk. Owners report all their streams at each change and
+//     twice a second, so a new placer knows the fleet within its first warmUp.
+//  3. An entry host that reaches no placer places for itself, by the same decisions,
+//     on its own streams and a share of the engines' memory: the
+//     share that is its own if all entry hosts do the same.
+//  4. One goroutine, the loop, owns the fleets.
+package hingeplacer
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/link/hingelink"
+)
+
+const (
+	// stepEvery is how often waiting wants are looked at when nothing happens.
+	stepEvery = 20 * time.Millisecond
+	// idleEvery is the same when nothing waits; only what is over is forgotten then.
+	idleEvery = 250 * time.Millisecond
+	// warmUp is how long a new placer listens before it grants: owners report
+	// within 20 ms of hearing of it.
+	warmUp = 120 * time.Millisecond
+	// inboxSize bounds what waits for the loop.
+	inboxSize = 1024
+)
+
+// Engines gives the engines of every service that may be used now.
+type Engines interface {
+	Engines() map[hingeids.Service][]hingefleet.Engine
+}
+
+// Placer places streams while Leads says so.
+type Placer struct {
+	engines Engines
+	leads   func() bool
+	clock   func() time.Time
+	inbox   chan func(now time.Time)
+	done    chan struct{}
+
+	fleets   map[hingeids.Service]*hingefleet.Fleet
+	waiting  map[hingefleet.StreamID]chan<- Placement
+	sequence map[hingeids.HostID]uint64
+	// ledSince is when this host began to place, zero while it doesn't.
+	ledSince time.Time
+}
+
+// New makes a placer.
+func New(e Engines, leads func() bool, clock func() time.Time) *Placer {
+	return &Placer{
+		engines:  e,
+		leads:    leads,
+		clock:    clock,
+		inbox:    make(chan func(now time.Time), inboxSize),
+		done:     make(chan struct{}),
+		fleets:   make(map[hingeids.Service]*hingefleet.Fleet),
+		waiting:  make(map[hingefleet.StreamID]chan<- Placement),
+		sequence: make(map[hingeids.HostID]uint64),
+	}
+}
+
+// Handle sets the handlers of other hosts' calls.
+func (p *Placer) Handle(link hingelink.Link) {
+	link.HandleCall(methodPlace, func(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
+		var w Want
+		if err := cbor.Unmarshal(body, &w); err != nil {
+			return nil, eris.Wrap(err, "a stream to be placed")
+		}
+		b, err := cbor.Marshal(p.Place(ctx, from, w))
+		return b, eris.Wrap(err, "placement")
+	})
+	link.HandleCall(methodReport, func(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
+		var r report
+		if err := cbor.Unmarshal(body, &r); err != nil {
+			return nil, eris.Wrap(err, "report of streams")
+		}
+		p.post(ctx, func(now time.Time) {
+			p.take(now, from, r)
+		})
+		return nil, nil
+	})
+}
+
+// Done closes when Run has ended.
+func (p *Placer) Done() <-chan struct{} {
+	return p.done
+}
+
+// Run runs the loop until the context ends.
+func (p *Placer) Run(ctx context.Context) error {
+	defer close(p.done)
+	timer := time.NewTimer(idleEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-p.inbox:
+			f(p.clock())
+			p.drain()
+		case <-timer.C:
+		}
+		next := idleEvery
+		if p.step(p.clock()) > 0 {
+			next = stepEvery
+		}
+		timer.Reset(next)
+	}
+}
+
+func (p *Placer) drain() {
+	for range inboxSize {
+		select {
+		case f := <-p.inbox:
+			f(p.clock())
+		default:
+			return
+		}
+	}
+}
+
+func (p *Placer) post(ctx context.Context, f func(now time.Time)) bool {
+	select {
+	case p.inbox <- f:
+		return true
+	case <-p.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Place waits for the decision on a stream. If the context ends first, the
+// stream is forgotten: its caller is gone.
+func (p *Placer) Place(ctx context.Context, owner hingeids.HostID, w Want) Placement {
+	answer := make(chan Placement, 1)
+	if !p.post(ctx, func(now time.Time) {
+		p.offer(now, owner, w, answer)
+	}) {
+		return Placement{
+			NotHere: true,
+		}
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-p.done:
+	case <-ctx.Done():
+		// The loop's own context ends it if this one can't be posted.
+		p.post(context.Background(), func(time.Time) {
+			p.cancel(w)
+		})
+	}
+	return Placement{
+		NotHere: true,
+	}
+}
+
+func (p *Placer) offer(now time.Time, owner hingeids.HostID, w Want, answer chan<- Placement) {
+	if !p.leads() {
+		answer <- Placement{
+			NotHere: true,
+		}
+		return
+	}
+	p.waiting[w.ID] = answer
+	p.fleet(w.Service).Offer(w.wanted(now, owner))
+}
+
+func (p *Placer) cancel(w Want) {
+	delete(p.waiting, w.ID)
+	p.fleet(w.Service).Cancel(w.ID)
+}
+
+func (p *Placer) fleet(s hingeids.Service) *hingefleet.Fleet {
+	f := p.fleets[s]
+	if f == nil {
+		f = hingefleet.New()
+		p.fleets[s] = f
+	}
+	return f
+}
+
+// take brings an owner's report in. An older one that was overtaken is passed over.
+func (p *Placer) take(now time.Time, owner hingeids.HostID, r report) {
+	if r.Sequence < p.sequence[owner] {
+		return
+	}
+	p.sequence[owner] = r.Sequence
+	for s := range r.Streams {
+		p.fleet(s)
+	}
+	for s, f := range p.fleets {
+		f.Report(now, owner, r.Streams[s])
+	}
+	for _, x := range r.Faults {
+		if x.Worked {
+			p.fleet(x.Service).Worked(x.Server)
+			continue
+		}
+		p.fleet(x.Service).Failed(now, x.Server)
+	}
+}
+
+// step decides on what waits, and gives how many still do.
+func (p *Placer) step(now time.Time) int {
+	if !p.leads() {
+		p.stepDown()
+		return 0
+	}
+	if p.ledSince.IsZero() {
+		p.ledSince = now
+	}
+	if now.Sub(p.ledSince) < warmUp {
+		return 1
+	}
+	engines := p.engines.Engines()
+	left := 0
+	for s, f := range p.fleets {
+		f.SetEngines(engines[s])
+		for _, d := range f.Step(now) {
+			p.answer(d)
+		}
+		left += f.Waiting()
+	}
+	return left
+}
+
+// stepDown hands all that waits back to its owners.
+func (p *Placer) stepDown() {
+	p.ledSince = time.Time{}
+	for id, answer := range p.waiting {
+		answer <- Placement{
+			NotHere: true,
+		}
+		delete(p.waiting, id)
+	}
+	clear(p.fleets)
+}
+
+func (p *Placer) answer(d hingefleet.Decision) {
+	answer := p.waiting[d.ID]
+	if answer == nil {
+		return
+	}
+	delete(p.waiting, d.ID)
+	answer <- Placement{
+		Prefill:    d.Grant.Prefill,
+		Decode:     d.Grant.Decode,
+		Refused:    d.Refused,
+		RetryAfter: d.RetryAfter,
+		Waited:     d.Waited,
+		Peak:       d.Peak,
+	}
+}
--- a/internal/core/hingeverdict/codes.go
+++ b/internal/core/hingeverdict/codes.go
@@ -25,6 +25,8 @@
 	CodeAnswerNotOurs      Code = 3005
 	CodeAnswerCut          Code = 3006
 	CodeCacheGone          Code = 3007
+	CodeServerGone         Code = 3008
+	CodeNoRoom             Code = 2006
 	CodeNoQuorum           Code = 4001
 	CodeNotReady           Code = 4002
 	CodeLinkDown           Code = 4003
--- /dev/null
+++ b/internal/decide/hingefleet/room.go
@@ -0,0 +1,156 @@
+package hingefleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
+
+const (
+	// memoryShare is how much of an engine's memory predictions may fill for what can be on
+	// time, and lateShare for what is late (rule 3). The rest absorbs hints that were too low.
+	memoryShare = 0.92
+	lateShare   = 0.80
+	// overrun is what a stream that has outlived its hint is expected to add,
+	// as a share of what it has made: lengths are spread evenly on a
+	// logarithmic scale, so the longer it was, the longer it goes on.
+	overrun = 0.3
+	// farSlower is the share of the best pace under which an engine counts as slow (rule 6).
+	farSlower = 0.4
+)
+
+// load is a stream as the prediction of an engine's memory sees it.
+type load struct {
+	// held is what it holds now, left the tokens that it will still make.
+	held hingeids.Tokens
+	left hingeids.Tokens
+}
+
+// loadOf gives a stream's load at a moment. Past its hint it is believed to
+// have made no more than was reported: most that reach it end soon.
+func (s *stream) loadOf(now time.Time, tokensPerSecond float64) load {
+	made := s.made
+	if d := now.Sub(s.madeAt); d > 0 {
+		made = min(made+hingeids.Tokens(tokensPerSecond*d.Seconds()), max(s.made, s.expected))
+	}
+	return load{
+		held: s.prompt + made,
+		left: max(s.expected-made, hingeids.Tokens(overrun*float64(made))),
+	}
+}
+
+// peak gives the highest memory predicted for streams that run side by side at
+// one pace. Memory is highest just before a stream ends, so only those moments
+// are looked at.
+func peak(list []load) hingeids.Tokens {
+	slices.SortFunc(list, func(a, b load) int {
+		return cmp.Compare(b.left, a.left)
+	})
+	highest, held := hingeids.Tokens(0), hingeids.Tokens(0)
+	for i, l := range list {
+		// Those with more left than this one are still there when it ends.
+		held += l.held
+		highest = max(highest, held+hingeids.Tokens(i+1)*l.left)
+	}
+	return highest
+}
+
+// room is a decode engine as one want sees it.
+type room struct {
+	engine *engine
+	// share is the predicted peak as a share of the engine's memory.
+	share float64
+	slow  bool
+}
+
+// rooms gives the decode engines that a want could go to, the best first (rules 2 and 6).
+func (f *Fleet) rooms(now time.Time, w *Want) []room {
+	best := 0.0
+	for _, e := range f.engines {
+		if e.Role == Decode {
+			best = max(best, e.tokensPerSecond)
+		}
+	}
+	var out []room
+	for _, e := range f.engines {
+		if e.Role != Decode || now.Before(e.awayTill) || slices.Contains(w.Avoid, e.Server) {
+			continue
+		}
+		share, streams := f.predict(now, e, w)
+		life := time.Duration(float64(w.Expected) / e.tokensPerSecond * float64(time.Second))
+		if streams >= int(e.Slots) || now.Add(life).After(w.Deadline) {
+			continue
+		}
+		out = append(out, room{
+			engine: e,
+			share:  share,
+			slow:   e.tokensPerSecond < farSlower*best,
+		})
+	}
+	slices.SortFunc(out, func(a, b room) int {
+		if a.slow != b.slow {
+			if b.slow {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(a.engine.Server, b.engine.Server))
+	})
+	return out
+}
+
+// predict gives the peak of an engine with one more stream, as a share of its memory, and
+// how many streams it has without it.
+func (f *Fleet) predict(now time.Time, e *engine, w *Want) (share float64, streams int) {
+	list := f.scratch[:0]
+	for _, s := range f.streams {
+		if s.decode == e.Server {
+			list = append(list, s.loadOf(now, e.tokensPerSecond))
+		}
+	}
+	streams = len(list)
+	list = append(list, load{
+		held: w.Prompt,
+		left: w.Expected,
+	})
+	f.scratch = list
+	return float64(peak(list)) / float64(max(e.Memory, 1)), streams
+}
+
+// prefillFor gives the prefill engine that is free first, one of the zone of
+// the decode engine if they are alike: a transfer between zones takes twice as long.
+func (f *Fleet) prefillFor(now time.Time, w *Want, zone hingeids.Zone) *engine {
+	var best *engine
+	var bestAt time.Time
+	for _, e := range f.engines {
+		if e.Role != Prefill || now.Before(e.awayTill) || slices.Contains(w.Avoid, e.Server) {
+			continue
+		}
+		at := later(now, e.freeAt)
+		if e.Zone != zone {
+			at = at.Add(otherZone)
+		}
+		if best == nil || at.Before(bestAt) || at.Equal(bestAt) && e.Server < best.Server {
+			best, bestAt = e, at
+		}
+	}
+	return best
+}
+
+// otherZone is the wait that a transfer within the zone is worth: a tenth of a
+// prefill, which costs callers nothing that they would notice.
+const otherZone = 10 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// reading is how long a prefill engine reads a prompt.
+func reading(t hingeids.Tokens) time.Duration {
+	return time.Duration(float64(t) / prefillPace * float64(time.Second))
+}
--- a/internal/link/hingelink/call.go
+++ b/internal/link/hingelink/call.go
@@ -26,7 +26,7 @@
 	if to == q.config.Self {
 		return q.callSelf(ctx, method, body)
 	}
-	p := q.peers[to]
+	p := q.use(to)
 	if p == nil {
 		return nil, notRun(eris.Errorf("no host %s among the peers", to))
 	}
@@ -94,7 +94,7 @@
 		}
 		return
 	}
-	p := q.peers[to]
+	p := q.use(to)
 	if p == nil || p.cutOutgoing.Load() {
 		return
 	}
@@ -117,7 +117,7 @@
 	}
 }
 
-// stamp gives the time line's stamp for a message. Rule 6.
+// stamp gives the time line's stamp for a message. Rule 7.
 func (q *QUIC) stamp() hingeevents.Stamp {
 	if q.config.Recorder == nil {
 		return hingeevents.Stamp{}
--- a/internal/link/hingelink/identity.go
+++ b/internal/link/hingelink/identity.go
@@ -53,7 +53,7 @@
 // acceptTLS takes the certificate of any peer. Rule 5.
 func (q *QUIC) acceptTLS() *tls.Config {
 	return q.withNameCheck(func(name hingeids.HostID) error {
-		if q.peers[name] != nil {
+		if q.meet(name) != nil {
 			return nil
 		}
 		return eris.Errorf("certificate is for host %q, which is not a peer", name)
--- a/internal/link/hingelink/peer.go
+++ b/internal/link/hingelink/peer.go
@@ -22,6 +22,10 @@
 	cutIncoming atomic.Bool
 	// newest is the latest incarnation heard from.
 	newest atomic.Uint64
+	// usedAt is when the peer was called last, in nanoseconds of the link's clock.
+	usedAt atomic.Int64
+	// kept says that a connection to the peer is kept up; peersMu guards it.
+	kept bool
 
 	mu      sync.Mutex
 	conn    *quic.Conn
@@ -138,6 +142,9 @@
 			p.set(nil, err)
 			q.recordAway(p, wasUp, err)
 			wasUp = false
+			if q.forget(p) {
+				return
+			}
 			pause(ctx, redialPause)
 			continue
 		}
--- a/internal/link/hingelink/quic.go
+++ b/internal/link/hingelink/quic.go
@@ -54,6 +54,9 @@
 	Listen string
 	// Peers are the addresses of all hosts that may call and be called.
 	Peers map[hingeids.HostID]string
+	// AddressOf, if set, opens the membership: a host that isn't among Peers may
+	// call, and is called at the address that AddressOf gives for it.
+	AddressOf func(hingeids.HostID) (string, error)
 	// TLS holds this host's certificate and, in VerifyConnection, how the chain of
 	// a peer's is verified; see hingekeys.LoadTLS. It may be nil only if Insecure is set.
 	TLS *tls.Config
@@ -84,7 +87,10 @@
 //     message; from then on it is MayHaveRun until its answer is here.
 //  5. A peer is who its certificate says. One that is not among the peers, or
 //     an earlier life of a host heard from since, gets no handler run.
-//  6. Every message carries a hybrid logical clock stamp, so that what it
+//  6. Where the membership is open, hosts are met as they call or are called. One
+//     that wasn't called for unusedAfter and can't be reached is forgotten: a host
+//     that was replaced at another address never comes back to the old one.
+//  7. Every message carries a hybrid logical clock stamp, so that what it
 //     causes sorts after it in the time line.
 type QUIC struct {
 	config    Config
@@ -92,7 +98,10 @@
 	serverTLS *tls.Config
 	socket    *net.UDPConn
 	transport *quic.Transport
+	peersMu   sync.RWMutex
 	peers     map[hingeids.HostID]*peer
+	// running is the context of Run; met hosts are kept up under it.
+	running   context.Context
 	calls     map[Method]CallHandler
 	datagrams map[Method]DatagramHandler
 	bodies    *semaphore.Weighted
@@ -209,12 +218,15 @@
 		return eris.Wrapf(err, "link of host %s", q.config.Self)
 	}
 	group, ctx := errgroup.WithContext(ctx)
+	q.peersMu.Lock()
+	q.running = ctx
 	for _, p := range q.peers {
-		group.Go(func() error {
+		p.kept = true
+		q.serving.Go(func() {
 			q.maintain(ctx, p)
-			return nil
 		})
 	}
+	q.peersMu.Unlock()
 	group.Go(func() error {
 		return q.accept(ctx, listener)
 	})
@@ -248,7 +260,7 @@
 	if !q.config.AllowCut {
 		return eris.New("links can be cut only where the settings allow it for tests")
 	}
-	p := q.peers[host]
+	p := q.known(host)
 	if p == nil {
 		return eris.Errorf("no host %s among the peers", host)
 	}
--- a/internal/link/hingelink/serve.go
+++ b/internal/link/hingelink/serve.go
@@ -17,7 +17,7 @@
 		if err != nil {
 			return eris.Wrapf(err, "link of host %s", q.config.Self)
 		}
-		p := q.peers[peerName(conn.ConnectionState().TLS)]
+		p := q.meet(peerName(conn.ConnectionState().TLS))
 		if p == nil {
 			_ = conn.CloseWithError(0, "not a peer")
 			continue
--- a/internal/membership/hingeannounce/announcement.go
+++ b/internal/membership/hingeannounce/announcement.go
@@ -18,6 +18,11 @@
 //     finds its tombstone. Their number is bounded.
 //  7. Traffic reads an immutable View: the usable servers by zone and model or
 //     service, each with the age of its load report.
+//  8. A Directory is for fleets where some hosts take announcements and all others follow
+//     them. A server's heartbeats go to one host, its owner, and only changes are
+//     told on: a new server, a new role, leaving, silence, a new owner.
+//  9. Silence is told by the owner alone. If a server finds a new owner, its newer
+//     heartbeat there stands above the old owner's word that it is silent.
 package hingeannounce
 
 import (
--- /dev/null
+++ b/internal/membership/hingefollow/follow.go
@@ -0,0 +1,302 @@
+// Package hingefollow takes what the control hosts know to everyone else: the
+// configuration in force and the directory of backend servers.
+//
+//  1. A follower asks every control host it knows of, each with one long
+//     question at a time. An answer comes at a change, or when the hold time is over. Each
+//     answer is whole in itself, so a lost one costs a question and nothing else.
+//  2. A follower takes the newest of all that it hears: of the configuration the
+//     highest version, of a backend server the newest record. So a control host that is cut
+//     off can hold nobody back, and nothing in force ever goes back to an older state.
+//  3. A follower learns control hosts from its seeds and from answers, and forgets one
+//     that no control host names and that doesn't answer.
+//  4. A follower is ready once a control host has confirmed, by asking the leader,
+//     that its configuration isn't older than one that was accepted before the
+//     question: a process that restarts must not come up with an older one.
+//  5. Control hosts follow each other too, so a follower that reaches only one of them
+//     still hears everything. Records that are merged twice change nothing, which
+//     ends the round.
+package hingefollow
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
+	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/link/hingelink"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
+)
+
+const methodFollow hingelink.Method = "follow.ask"
+
+const (
+	// hold is how long a question waits for a change. A host that is asked once
+	// in two seconds by each of 560 followers spends 280 small answers a second on it.
+	hold = 2 * time.Second
+	// answerGrace is how long after the hold time an answer may come; a link that has
+	// gone silent is given up by then.
+	answerGrace = 500 * time.Millisecond
+	// freshWait bounds how long a control host asks the leader for rule 4.
+	freshWait = time.Second
+	// retryPause keeps a follower from asking a host that is away without a break.
+	retryPause = 150 * time.Millisecond
+	// forgetAfter is how long a control host that nobody names may go unheard.
+	forgetAfter = 10 * time.Second
+	// gather is how long an answer waits for more after a change: a control host that
+	// comes back hears dozens of servers at once.
+	gather = 2 * time.Millisecond
+)
+
+// question is what a follower asks.
+type question struct {
+	// Life is the life of the asked host that Change speaks of.
+	Life   hingeids.Incarnation `cbor:"1,keyasint"`
+	Change uint64               `cbor:"2,keyasint"`
+	// Version is that of the configuration held.
+	Version hingeversion.Version `cbor:"3,keyasint"`
+	// Fresh asks for rule 4.
+	Fresh bool `cbor:"4,keyasint,omitempty"`
+	// Entry says that the follower takes requests from callers.
+	Entry bool `cbor:"5,keyasint,omitempty"`
+}
+
+// answer is what a control host says.
+type answer struct {
+	Life     hingeids.Incarnation   `cbor:"1,keyasint"`
+	Change   uint64                 `cbor:"2,keyasint"`
+	Records  []hingeannounce.Record `cbor:"3,keyasint,omitempty"`
+	Document *hingeversion.Document `cbor:"4,keyasint,omitempty"`
+	Leader   hingeids.HostID        `cbor:"5,keyasint,omitempty"`
+	Control  []hingeids.HostID      `cbor:"6,keyasint,omitempty"`
+	Entries  int                    `cbor:"7,keyasint,omitempty"`
+	Fresh    bool                   `cbor:"8,keyasint,omitempty"`
+	InTouch  bool                   `cbor:"9,keyasint,omitempty"`
+	Term     uint64                 `cbor:"10,keyasint,omitempty"`
+}
+
+// State is what a follower knows; nobody changes it.
+type State struct {
+	Document hingeversion.Document
+	// Ready is rule 4.
+	Ready bool
+	// Leader is the control host that leads, as heard last, in its term.
+	Leader hingeids.HostID
+	Term   uint64
+	// Entries is how many hosts take requests from callers, as heard last.
+	Entries int
+	// Control are the control hosts known of.
+	Control []hingeids.HostID
+	// HeardAt is when a control host in touch with the leader was heard last.
+	HeardAt time.Time
+}
+
+// Settings of a follower.
+type Settings struct {
+	Self  hingeids.HostID
+	Entry bool
+	Clock func() time.Time
+	// Took is called for each record that is new here, in no goroutine of its own.
+	Took func(now time.Time, records []hingeannounce.Record)
+}
+
+// Follower follows the control hosts.
+type Follower struct {
+	settings Settings
+	link     hingelink.Link
+	state    hingeboard.Cell[State]
+	done     chan struct{}
+
+	mu    sync.Mutex
+	hosts map[hingeids.HostID]*host
+	seeds []hingeids.HostID
+	all   sync.WaitGroup
+}
+
+// host is a control host as this follower knows it.
+type host struct {
+	named   time.Time
+	heard   time.Time
+	life    hingeids.Incarnation
+	change  uint64
+	stop    context.CancelFunc
+	started bool
+}
+
+// New makes a follower of the seeds.
+func New(s Settings, link hingelink.Link, seeds []hingeids.HostID) *Follower {
+	f := &Follower{
+		settings: s,
+		link:     link,
+		hosts:    make(map[hingeids.HostID]*host),
+		seeds:    slices.Clone(seeds),
+		done:     make(chan struct{}),
+	}
+	f.state.Store(&State{})
+	return f
+}
+
+// State is where what is known is published.
+func (f *Follower) State() *hingeboard.Cell[State] {
+	return &f.state
+}
+
+// Done closes when Run has ended.
+func (f *Follower) Done() <-chan struct{} {
+	return f.done
+}
+
+// Reseed takes other seeds.
+func (f *Follower) Reseed(seeds []hingeids.HostID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = slices.Clone(seeds)
+}
+
+// lookEvery is how often the list of control hosts is gone through.
+const lookEvery = 250 * time.Millisecond
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	defer close(f.done)
+	defer f.all.Wait()
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		f.look(ctx, f.settings.Clock())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// look begins to ask hosts that are new, and forgets others (rule 3).
+func (f *Follower) look(ctx context.Context, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.seeds {
+		f.name(now, h)
+	}
+	for id, h := range f.hosts {
+		if now.Sub(h.named) > forgetAfter && now.Sub(h.heard) > forgetAfter {
+			if h.started {
+				h.stop()
+			}
+			delete(f.hosts, id)
+			continue
+		}
+		if h.started {
+			continue
+		}
+		h.started = true
+		var inner context.Context
+		inner, h.stop = context.WithCancel(ctx)
+		f.all.Go(func() {
+			f.follow(inner, id, h)
+		})
+	}
+}
+
+// name notes that somebody speaks of a control host. The caller holds the lock.
+func (f *Follower) name(now time.Time, id hingeids.HostID) {
+	if id == f.settings.Self {
+		return
+	}
+	h := f.hosts[id]
+	if h == nil {
+		h = &host{}
+		f.hosts[id] = h
+	}
+	h.named = now
+}
+
+// follow asks one control host until the context ends.
+func (f *Follower) follow(ctx context.Context, id hingeids.HostID, h *host) {
+	for ctx.Err() == nil {
+		a, err := f.ask(ctx, id, h)
+		now := f.settings.Clock()
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		f.take(now, h, a)
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, id hingeids.HostID, h *host) (answer, error) {
+	s := f.state.Load()
+	f.mu.Lock()
+	q := question{
+		Life:    h.life,
+		Change:  h.change,
+		Version: s.Document.Version,
+		Fresh:   !s.Ready,
+		Entry:   f.settings.Entry,
+	}
+	f.mu.Unlock()
+	one, stop := context.WithTimeout(ctx, hold+answerGrace)
+	defer stop()
+	body, err := cbor.Marshal(q)
+	if err != nil {
+		return answer{}, eris.Wrap(err, "question to a control host")
+	}
+	b, err := f.link.Call(one, id, methodFollow, body)
+	if err != nil {
+		return answer{}, err
+	}
+	var a answer
+	return a, eris.Wrap(cbor.Unmarshal(b, &a), "answer of a control host")
+}
+
+// take brings an answer into the state (rule 2).
+func (f *Follower) take(now time.Time, h *host, a answer) {
+	if len(a.Records) > 0 {
+		f.settings.Took(now, a.Records)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.heard = now
+	h.life = a.Life
+	h.change = a.Change
+	next := *f.state.Load()
+	if a.Document != nil && a.Document.Version > next.Document.Version {
+		next.Document = *a.Document
+	}
+	// What a host that hears no leader says of control hosts may be old.
+	if a.InTouch {
+		next.HeardAt = now
+		if a.Entries > 0 {
+			next.Entries = a.Entries
+		}
+		for _, id := range a.Control {
+			f.name(now, id)
+		}
+	}
+	if a.Leader != "" && a.Term >= next.Term {
+		next.Leader = a.Leader
+		next.Term = a.Term
+	}
+	next.Ready = next.Ready || a.Fresh && next.Document.Version > 0
+	next.Control = next.Control[:0:0]
+	for id := range f.hosts {
+		next.Control = append(next.Control, id)
+	}
+	slices.Sort(next.Control)
+	f.state.Store(&next)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/membership/hingefollow/source.go
@@ -0,0 +1,210 @@
+package hingefollow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
+	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/link/hingelink"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
+)
+
+// Standing is what a control host knows of the group that agrees on the configuration.
+type Standing struct {
+	Leader  hingeids.HostID
+	Term    uint64
+	Members []hingeids.HostID
+	// InTouch says that a leader is heard.
+	InTouch bool
+}
+
+// Origin is what a control host knows itself.
+type Origin interface {
+	// Documents is where each accepted configuration is published.
+	Documents() *hingeboard.Cell[hingeversion.Document]
+	// Read waits until the newest document is no older than any accepted before the call.
+	Read(ctx context.Context) error
+	Standing() Standing
+}
+
+// Source answers followers, and holds the directory of a control host.
+type Source struct {
+	life   hingeids.Incarnation
+	origin Origin
+	clock  func() time.Time
+
+	mu        sync.Mutex
+	directory *hingeannounce.Directory
+	changed   chan struct{}
+	entries   map[hingeids.HostID]time.Time
+}
+
+// NewSource makes the source of a control host and sets its handler.
+func NewSource(life hingeids.Life, o Origin, clock func() time.Time, link hingelink.Link) *Source {
+	s := &Source{
+		life:      life.Incarnation,
+		origin:    o,
+		clock:     clock,
+		directory: hingeannounce.NewDirectory(life.Host),
+		changed:   make(chan struct{}),
+		entries:   make(map[hingeids.HostID]time.Time),
+	}
+	link.HandleCall(methodFollow, s.follow)
+	return s
+}
+
+// Hear takes an announcement that a backend server made here.
+func (s *Source) Hear(now time.Time, a hingeannounce.Announcement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.directory.Hear(now, a)
+	s.told(changed)
+	return changed
+}
+
+// Leave takes a backend server's word that it leaves.
+func (s *Source) Leave(now time.Time, id hingeids.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told(s.directory.Leave(now, id))
+}
+
+// Wake has waiting questions look again.
+func (s *Source) Wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told(true)
+}
+
+// Changed gives a channel that closes at the next change of the directory.
+func (s *Source) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Merge takes what another control host told.
+func (s *Source) Merge(now time.Time, records []hingeannounce.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	for _, r := range records {
+		changed = s.directory.Merge(now, r) || changed
+	}
+	s.told(changed)
+}
+
+// Step does what is due.
+func (s *Source) Step(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told(s.directory.Step(now))
+	for h, at := range s.entries {
+		if now.Sub(at) > forgetAfter {
+			delete(s.entries, h)
+		}
+	}
+}
+
+// Records gives all that is known of backend servers.
+func (s *Source) Records() []hingeannounce.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.Since(0)
+}
+
+// told wakes the questions that wait. The caller holds the lock.
+func (s *Source) told(changed bool) {
+	if changed {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// follow answers one question.
+func (s *Source) follow(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
+	var q question
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, eris.Wrap(err, "question of a follower")
+	}
+	if q.Life != s.life {
+		q.Change = 0
+	}
+	if q.Entry {
+		s.mu.Lock()
+		s.entries[from] = s.clock()
+		s.mu.Unlock()
+	}
+	fresh := q.Fresh && s.readFresh(ctx)
+	if !q.Fresh {
+		s.wait(ctx, q)
+	}
+	a := s.answer(q)
+	a.Fresh = fresh
+	b, err := cbor.Marshal(a)
+	return b, eris.Wrap(err, "answer to a follower")
+}
+
+// readFresh asks the leader, but not for long: it may be gone without a word.
+func (s *Source) readFresh(ctx context.Context) bool {
+	one, stop := context.WithTimeout(ctx, freshWait)
+	defer stop()
+	if err := s.origin.Read(one); err != nil {
+		// The follower asks again; without the pause it would do so without a break.
+		pause(ctx, retryPause)
+		return false
+	}
+	return true
+}
+
+func (s *Source) answer(q question) answer {
+	standing := s.origin.Standing()
+	a := answer{
+		Life:    s.life,
+		Leader:  standing.Leader,
+		Term:    standing.Term,
+		Control: standing.Members,
+		InTouch: standing.InTouch,
+	}
+	if d := s.origin.Documents().Load(); d.Version > q.Version {
+		a.Document = d
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.Change = s.directory.Change()
+	a.Records = s.directory.Since(q.Change)
+	a.Entries = len(s.entries)
+	return a
+}
+
+// wait returns shortly after something changes, or when the hold time is over.
+func (s *Source) wait(ctx context.Context, q question) {
+	timer := time.NewTimer(hold)
+	defer timer.Stop()
+	leader := s.origin.Standing().Leader
+	for {
+		documents := s.origin.Documents().Changed()
+		s.mu.Lock()
+		servers := s.changed
+		news := s.directory.Change() > q.Change
+		s.mu.Unlock()
+		if news || s.origin.Documents().Load().Version > q.Version || s.origin.Standing().Leader != leader {
+			pause(ctx, gather)
+			return
+		}
+		select {
+		case <-servers:
+		case <-documents:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/hingeworld/world.go
@@ -0,0 +1,124 @@
+// Package hingeworld puts together what a process knows of the fleet: the
+// routes in force and the backend servers that may be used. Traffic reads it as a value
+// that nobody changes.
+package hingeworld
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
+)
+
+// World is the fleet at one moment.
+type World struct {
+	table     *hingeroutes.Table
+	replicas  map[hingeids.Service][]hingebalance.Replica
+	engines   map[hingeids.Service][]hingefleet.Engine
+	addresses map[hingeids.ServerID]string
+}
+
+// Build makes a world. The table may be nil.
+func Build(t *hingeroutes.Table, records []hingeannounce.Record) *World {
+	w := &World{
+		table:     t,
+		replicas:  make(map[hingeids.Service][]hingebalance.Replica),
+		engines:   make(map[hingeids.Service][]hingefleet.Engine),
+		addresses: make(map[hingeids.ServerID]string),
+	}
+	for _, r := range usable(records) {
+		w.add(r.Announcement)
+	}
+	return w
+}
+
+// usable gives the records of servers that may be used, by name. Of two at one
+// address the one heard of last has it: the other has ended without a word.
+func usable(records []hingeannounce.Record) []hingeannounce.Record {
+	holder := make(map[string]hingeids.ServerID, len(records))
+	for _, r := range records {
+		holder[r.Announcement.Address] = r.Announcement.Server
+	}
+	var out []hingeannounce.Record
+	for _, r := range records {
+		if r.Usable() && holder[r.Announcement.Address] == r.Announcement.Server {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b hingeannounce.Record) int {
+		return cmp.Compare(a.Announcement.Server, b.Announcement.Server)
+	})
+	return out
+}
+
+func (w *World) add(a hingeannounce.Announcement) {
+	w.addresses[a.Server] = a.Address
+	if role := roleOf(a.Kind); role != 0 {
+		w.addEngine(a, role)
+		return
+	}
+	w.replicas[a.Service] = append(w.replicas[a.Service], hingebalance.Replica{
+		Server:  a.Server,
+		Address: a.Address,
+		Zone:    a.Zone,
+	})
+}
+
+func roleOf(k hingeannounce.Kind) hingefleet.Role {
+	switch k {
+	case hingeannounce.Prefill:
+		return hingefleet.Prefill
+	case hingeannounce.Decode, hingeannounce.Both:
+		return hingefleet.Decode
+	}
+	return 0
+}
+
+func (w *World) addEngine(a hingeannounce.Announcement, role hingefleet.Role) {
+	e := hingefleet.Engine{
+		Server: a.Server,
+		Zone:   a.Zone,
+		Role:   role,
+		Slots:  a.Slots,
+	}
+	if w.table != nil {
+		if s := w.table.Services[a.Service]; s.Engine != nil {
+			e.Memory = s.Engine.Memory
+			e.Slots = s.Engine.Slots
+		}
+	}
+	w.engines[a.Service] = append(w.engines[a.Service], e)
+	if role == hingefleet.Decode {
+		// A request of a model service that names no prompt can be taken by any of these.
+		w.replicas[a.Service] = append(w.replicas[a.Service], hingebalance.Replica{
+			Server:  a.Server,
+			Address: a.Address,
+			Zone:    a.Zone,
+		})
+	}
+}
+
+// Table gives the routes in force, nil before any are known.
+func (w *World) Table() *hingeroutes.Table {
+	return w.table
+}
+
+// Replicas gives the replicas of a service that may be used.
+func (w *World) Replicas(s hingeids.Service) []hingebalance.Replica {
+	return w.replicas[s]
+}
+
+// Address gives a server's address.
+func (w *World) Address(id hingeids.ServerID) (string, bool) {
+	a, ok := w.addresses[id]
+	return a, ok
+}
+
+// Engines gives the engines of every service that may be used.
+func (w *World) Engines() map[hingeids.Service][]hingefleet.Engine {
+	return w.engines
+}
--- a/internal/observe/hingeevents/events.go
+++ b/internal/observe/hingeevents/events.go
@@ -51,16 +51,18 @@
 
 // Fields are what an event is about. Empty ones are left out.
 type Fields struct {
-	Request  hingeids.RequestID `json:"request,omitzero"`
-	Host     hingeids.HostID    `json:"host,omitempty"`
-	Server   hingeids.ServerID  `json:"server,omitempty"`
-	Caller   hingeids.CallerID  `json:"caller,omitempty"`
-	Zone     hingeids.Zone      `json:"zone,omitempty"`
-	Revision hingeids.Revision  `json:"revision,omitempty"`
-	Fence    hingeids.Fence     `json:"fence,omitempty"`
-	Took     time.Duration      `json:"took,omitempty"`
-	Count    int64              `json:"count,omitempty"`
-	Detail   string             `json:"detail,omitempty"`
+	Request hingeids.RequestID `json:"request,omitzero"`
+	// Asked is the caller's own id of the request, where callers give one.
+	Asked    string            `json:"asked,omitempty"`
+	Host     hingeids.HostID   `json:"host,omitempty"`
+	Server   hingeids.ServerID `json:"server,omitempty"`
+	Caller   hingeids.CallerID `json:"caller,omitempty"`
+	Zone     hingeids.Zone     `json:"zone,omitempty"`
+	Revision hingeids.Revision `json:"revision,omitempty"`
+	Fence    hingeids.Fence    `json:"fence,omitempty"`
+	Took     time.Duration     `json:"took,omitempty"`
+	Count    int64             `json:"count,omitempty"`
+	Detail   string            `json:"detail,omitempty"`
 }
 
 // Stamp is a hybrid logical clock reading: wall time in nanoseconds, then a
@@ -94,6 +96,7 @@
 // use by many goroutines. A nil recorder records nothing.
 type Recorder struct {
 	life hingeids.Life
+	sink func(Event)
 
 	mu    sync.Mutex
 	last  Stamp
@@ -113,12 +116,24 @@
 	}
 }
 
+// NewRecorderTo makes a recorder whose events go to a sink, all of them, in
+// place of the log.
+func NewRecorderTo(life hingeids.Life, sink func(Event)) *Recorder {
+	r := NewRecorder(life)
+	r.sink = sink
+	return r
+}
+
 // Record keeps and logs an event.
 func (r *Recorder) Record(now time.Time, n Number, f Fields) {
 	if r == nil {
 		return
 	}
 	e := r.keep(now, n, f)
+	if r.sink != nil {
+		r.sink(e)
+		return
+	}
 	logEvent(e)
 }
 
@@ -262,6 +277,7 @@
 		}
 	}
 	add(!f.Request.IsZero(), "request", f.Request.String())
+	add(f.Asked != "", "asked", f.Asked)
 	add(f.Host != "", "host", f.Host)
 	add(f.Server != "", "server", f.Server)
 	add(f.Caller != "", "caller", f.Caller)
--- a/internal/observe/hingeevents/operator.go
+++ b/internal/observe/hingeevents/operator.go
@@ -2,11 +2,12 @@
 
 // Events of settings and operators.
 const (
-	RevisionApplied Number = 800
-	ChangeAccepted  Number = 801
-	ChangeRefused   Number = 802
-	ChangeRepeated  Number = 803
-	RevisionUnread  Number = 804
+	RevisionApplied  Number = 800
+	ChangeAccepted   Number = 801
+	ChangeRefused    Number = 802
+	ChangeRepeated   Number = 803
+	RevisionUnread   Number = 804
+	SettingsReloaded Number = 805
 )
 
 var operatorEntries = []Entry{
@@ -41,4 +42,10 @@
 		Text:     "An accepted revision has an item that this process can't read; it goes on with the one before.",
 		Do:       "Bring the process to the version of the others, or take the item back with swifthinge apply.",
 	},
+	{
+		Number:   SettingsReloaded,
+		Name:     "settingsReloaded",
+		Severity: Info,
+		Text:     "The settings were read again; count is the seeds they name.",
+	},
 }
--- /dev/null
+++ b/internal/path/hingeproxy/plain.go
@@ -0,0 +1,247 @@
+package hingeproxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+	"github.com/swifthinge/swifthinge/internal/decide/hingeretry"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
+	"github.com/swifthinge/swifthinge/internal/path/hingewire"
+)
+
+const (
+	// mostUnreached bounds the replicas that are dialled in vain for one
+	// request: it hasn't arrived anywhere, so this costs time only.
+	mostUnreached = 4
+	// patienceShare is the share of its time that a request that may be repeated
+	// waits for one replica, while another attempt is allowed: a dark
+	// replica would otherwise use up the time of both.
+	patienceShare = 0.4
+	// leastPatience keeps a slow moment from being taken for a failure.
+	leastPatience = 150 * time.Millisecond
+)
+
+// whole is an answer of a backend server with its body.
+type whole struct {
+	response *http.Response
+	reply    Reply
+	body     []byte
+}
+
+// plain answers a request of a plain service.
+func (p *Proxy) plain(ctx context.Context, j *job) {
+	var avoid []hingeids.ServerID
+	unreached := 0
+	for {
+		replica, ok := p.choose(j, avoid)
+		if !ok {
+			p.give(j, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil))
+			return
+		}
+		avoid = append(avoid, replica.Server)
+		answer, outcome, err := p.try(ctx, j, replica)
+		if context.Cause(ctx) == hingewire.ErrCallerLeft {
+			p.callerLeft(j)
+			return
+		}
+		if err == nil && !p.worthRepeating(j, answer) {
+			p.deliver(j, answer)
+			return
+		}
+		if outcome == hingebalance.Unreached && unreached < mostUnreached {
+			unreached++
+			continue
+		}
+		if again := p.again(j, verdictOf(err)); again {
+			continue
+		}
+		if answer != nil {
+			p.deliver(j, answer)
+			return
+		}
+		p.give(j, verdictOf(err))
+		return
+	}
+}
+
+// callerLeft records that the caller is gone.
+func (p *Proxy) callerLeft(j *job) {
+	now := p.settings.Clock()
+	p.settings.Recorder.Record(now, hingeevents.CallerGone, hingeevents.Fields{
+		Asked: string(j.asked.ID),
+		Took:  now.Sub(j.Arrived),
+	})
+}
+
+func (p *Proxy) choose(j *job, avoid []hingeids.ServerID) (hingebalance.Replica, bool) {
+	list := p.world.Replicas(j.service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balance(j.service).Choose(p.settings.Clock(), list, avoid)
+}
+
+// try sends a request to a replica and tells the balance how it went.
+func (p *Proxy) try(ctx context.Context, j *job, r hingebalance.Replica) (*whole, hingebalance.Outcome, error) {
+	began := p.settings.Clock()
+	one, stop := p.patience(ctx, j)
+	defer stop()
+	answer, err := p.exchange(one, j, r)
+	took := p.settings.Clock().Sub(began)
+	outcome := outcomeOf(answer, err)
+	if context.Cause(ctx) == hingewire.ErrCallerLeft {
+		// The caller's leaving says nothing of the replica.
+		outcome = hingebalance.Answered
+		took = 0
+	}
+	p.mu.Lock()
+	p.balance(j.service).Done(p.settings.Clock(), r.Server, outcome, took)
+	p.mu.Unlock()
+	if outcome != hingebalance.Unreached {
+		j.attempts++
+	}
+	if err != nil {
+		j.note(verdictOf(err).Verdict)
+		p.settings.Recorder.Record(p.settings.Clock(), hingeevents.ServerFailedRequest, hingeevents.Fields{
+			Asked:  string(j.asked.ID),
+			Server: r.Server,
+			Took:   took,
+			Detail: err.Error(),
+		})
+		return nil, outcome, err
+	}
+	j.note(hingeverdict.Ran)
+	return answer, outcome, nil
+}
+
+// patience bounds one attempt while another is allowed.
+func (p *Proxy) patience(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
+	left := p.left(j)
+	if j.route.MayRepeat() && j.runs+1 < j.route.Attempts {
+		left = min(left, max(time.Duration(patienceShare*float64(left)), leastPatience))
+	}
+	return context.WithTimeout(ctx, left)
+}
+
+// exchange has one replica answer. The error carries the verdict.
+func (p *Proxy) exchange(ctx context.Context, j *job, r hingebalance.Replica) (*whole, error) {
+	x, err := hingewire.Begin(ctx, r.Address, j.sent(p.dialect, Sending{
+		Server: r.Server,
+		Left:   p.left(j),
+		After:  j.asked.After,
+	}))
+	if err != nil {
+		return nil, err
+	}
+	defer x.Close()
+	reply := p.dialect.Reply(x.Answer)
+	if err := p.judge(j, x.Answer, reply); err != nil {
+		return nil, err
+	}
+	body, err := x.Body()
+	if err != nil {
+		return nil, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerCut, 0, err)
+	}
+	return &whole{
+		response: x.Answer,
+		reply:    reply,
+		body:     body,
+	}, nil
+}
+
+// judge tells an answer that may go on from one that may not.
+func (p *Proxy) judge(j *job, a *http.Response, r Reply) error {
+	switch {
+	case r.ID != "" && r.ID != j.asked.ID:
+		return hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerNotOurs, 0,
+			eris.Errorf("the answer is for request %q", r.ID))
+	case r.Gone:
+		return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeServerGone, 0,
+			eris.New("another server has the address"))
+	case r.NotRun:
+		return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeServerRefused, 0,
+			eris.Errorf("the server refused with status %d", a.StatusCode))
+	case promises(a.StatusCode):
+		// Without the server's word the promise of this status would be ours.
+		return hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeServerFailed, 0,
+			eris.Errorf("status %d without the word that nothing ran", a.StatusCode))
+	case a.StatusCode < 300 && !r.Vouched:
+		return hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerNotOurs, 0,
+			eris.New("a success without the server's mark"))
+	case a.Header.Get("Content-Encoding") != "":
+		return hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerNotOurs, 0,
+			eris.New("an encoded body that nobody asked for"))
+	}
+	return nil
+}
+
+// promises reports whether a status tells callers that nothing has run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func outcomeOf(a *whole, err error) hingebalance.Outcome {
+	if err == nil {
+		if a.response.StatusCode >= http.StatusInternalServerError {
+			return hingebalance.Failed
+		}
+		return hingebalance.Answered
+	}
+	var v *hingeverdict.Error
+	if !errors.As(err, &v) || v.Verdict != hingeverdict.NotRun {
+		return hingebalance.Failed
+	}
+	switch {
+	case v.Code == hingeverdict.CodeServerRefused:
+		return hingebalance.Full
+	case v.Code == hingeverdict.CodeServerGone:
+		return hingebalance.Gone
+	}
+	return hingebalance.Unreached
+}
+
+// worthRepeating reports whether a server's failure is better tried elsewhere.
+func (p *Proxy) worthRepeating(j *job, a *whole) bool {
+	return a.response.StatusCode >= http.StatusInternalServerError && j.route.MayRepeat() &&
+		j.runs < j.route.Attempts
+}
+
+// again decides whether a request is sent once more.
+func (p *Proxy) again(j *job, err *hingeverdict.Error) bool {
+	if j.ran != hingeverdict.NotRun && (!j.route.MayRepeat() || j.runs >= j.route.Attempts) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := hingeretry.Decide(p.settings.Clock(), hingeretry.Failure{
+		Err:         err,
+		Before:      j.ran,
+		Attempts:    j.attempts,
+		NeverRepeat: !j.route.MayRepeat(),
+		Deadline:    j.deadline,
+	}, p.budget(j.service))
+	return d.Action == hingeretry.Repeat
+}
+
+// deliver hands a server's answer to the caller.
+func (p *Proxy) deliver(j *job, a *whole) {
+	now := p.settings.Clock()
+	p.meter.answered(a.response.StatusCode, now.Sub(j.Arrived))
+	p.settings.Recorder.Record(now, hingeevents.ServiceCalled, hingeevents.Fields{
+		Asked: string(j.asked.ID),
+		Took:  now.Sub(j.Arrived),
+		Count: int64(a.response.StatusCode),
+	})
+	j.writer.Whole(a.response.StatusCode, a.response.Header, a.body)
+}
--- /dev/null
+++ b/internal/path/hingeproxy/proxy.go
@@ -0,0 +1,263 @@
+// Package hingeproxy is the front door for opaque requests: it routes by host
+// name and path and hands body, path and query on byte for byte. What it needs of the headers
+// comes as typed values from a Dialect.
+//
+//  1. A request is answered once. Whether it may be sent again is told by the
+//     verdict on each attempt, never by a guess (hingeretry).
+//  2. A status that promises "not run" is given only if no attempt can have run.
+//  3. An answer of a backend server goes on unchanged, with its whole body, or not at all.
+//  4. A stream passes whole events on, each once and in order. When its engine
+//     breaks off, another goes on after the last event that was passed on, if the route
+//     allows it; otherwise the connection is closed without its end.
+//  5. When the caller leaves, everything that is done for it ends: the wait, the
+//     prefill, the KV cache that was exported, the run.
+//  6. What can't be served is refused at once, with a time to come back.
+package hingeproxy
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+	"github.com/swifthinge/swifthinge/internal/decide/hingeretry"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
+	"github.com/swifthinge/swifthinge/internal/path/hingewire"
+)
+
+// RequestID is the caller's own id of one attempt.
+type RequestID string
+
+// Asked is what a request's headers say.
+type Asked struct {
+	ID RequestID
+	// Left is how long the caller waits; zero if it doesn't say.
+	Left  time.Duration
+	Model hingeids.Model
+	// Prompt and Longest are the tokens of the prompt and the most of the answer; Hint
+	// is the caller's estimate of the answer, zero if it has none.
+	Prompt  hingeids.Tokens
+	Longest hingeids.Tokens
+	Hint    hingeids.Tokens
+	// After is the last event that the caller has, empty at the beginning.
+	After string
+}
+
+// Cache names the KV cache of a finished prefill at its engine.
+type Cache struct {
+	Address string
+	Handle  string
+}
+
+// Sending is what the router adds to a request for one backend server.
+type Sending struct {
+	Server hingeids.ServerID
+	// Left is the time that the server may take.
+	Left time.Duration
+	// Prefill asks for the prompt's KV cache only.
+	Prefill bool
+	// From is the KV cache to go on from, if any.
+	From Cache
+	// After is the last event that was passed on.
+	After string
+}
+
+// Reply is what a backend server's headers say of its answer.
+type Reply struct {
+	// ID is the request that the answer is for; empty if the server doesn't say.
+	ID RequestID
+	// NotRun is the server's word that it didn't run the request, Gone that
+	// another server has the address.
+	NotRun bool
+	Gone   bool
+	// Vouched says that the server has put its mark on the answer.
+	Vouched bool
+}
+
+// Dialect translates between headers and what they say.
+type Dialect interface {
+	Asked(h http.Header) Asked
+	// Outgoing gives the headers for a backend server: the caller's, without
+	// those that are the router's to set, and what Sending says.
+	Outgoing(h http.Header, s Sending) http.Header
+	Reply(r *http.Response) Reply
+	// Cache reads the answer of a prefill engine at an address.
+	Cache(address string, body []byte) (Cache, error)
+	// Free gives the method and path of the call that frees a KV cache.
+	Free(c Cache) (method, path string)
+	// Own gives the headers of an answer of the router's own.
+	Own(id RequestID) http.Header
+}
+
+// World is what the process knows of the fleet. Its values are not changed once given.
+type World interface {
+	// Table is nil before any configuration is known.
+	Table() *hingeroutes.Table
+	// Replicas gives those of a service that may be used.
+	Replicas(s hingeids.Service) []hingebalance.Replica
+	// Address gives the address of a server, if it is known.
+	Address(id hingeids.ServerID) (string, bool)
+	Entries() int
+}
+
+// Budget is the part of the repeats that the fleet may make of one service.
+type Budget struct {
+	// PerRequest is the share of repeats to requests, Burst what all hosts
+	// together may save up.
+	PerRequest float64
+	Burst      float64
+}
+
+// Settings of a proxy.
+type Settings struct {
+	Self     hingeids.Life
+	Zone     hingeids.Zone
+	Budget   Budget
+	Clock    func() time.Time
+	Recorder *hingeevents.Recorder
+}
+
+// Proxy answers requests.
+type Proxy struct {
+	settings Settings
+	dialect  Dialect
+	world    World
+	owner    *hingeplacer.Owner
+	meter    *meter
+
+	mu       sync.Mutex
+	balances map[hingeids.Service]*hingebalance.Balance
+	budgets  map[hingeids.Service]*hingeretry.Budget
+	// drainingSince is when the process began to end, zero before.
+	drainingSince time.Time
+	sequence      uint64
+}
+
+var _ hingewire.Handler = (*Proxy)(nil)
+
+// New makes a proxy.
+func New(s Settings, d Dialect, w World, o *hingeplacer.Owner) *Proxy {
+	return &Proxy{
+		settings: s,
+		dialect:  d,
+		world:    w,
+		owner:    o,
+		meter:    newMeter(),
+		balances: make(map[hingeids.Service]*hingebalance.Balance),
+		budgets:  make(map[hingeids.Service]*hingeretry.Budget),
+	}
+}
+
+// Drain notes that the process ends: streams that can't end in time aren't begun.
+func (p *Proxy) Drain(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drainingSince = now
+}
+
+// job is one request on its way.
+type job struct {
+	*hingewire.Request
+	asked    Asked
+	route    *hingeroutes.Route
+	service  hingeids.Service
+	deadline time.Time
+	writer   *hingewire.Writer
+	// ran is the most that any attempt may have done, runs how many may have run.
+	ran  hingeverdict.Verdict
+	runs int
+	// attempts counts the times that the request was handed to a server.
+	attempts int
+}
+
+// standardWait is for callers that don't say how long they wait, on a route without a timeout.
+const standardWait = 30 * time.Second
+
+// Serve answers a request.
+func (p *Proxy) Serve(ctx context.Context, r *hingewire.Request, w *hingewire.Writer) {
+	asked := p.dialect.Asked(r.Header)
+	table := p.world.Table()
+	if table == nil {
+		p.refuse(w, asked.ID, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNotReady, notReadyRetry, nil))
+		return
+	}
+	route := table.Match(hostName(r.Host), pathOf(r.Target))
+	if route == nil {
+		p.own(w, http.StatusNotFound, asked.ID, "no route for this host and path\n")
+		return
+	}
+	j := &job{
+		Request: r,
+		asked:   asked,
+		route:   route,
+		service: route.Service(string(asked.ID)),
+		writer:  w,
+		ran:     hingeverdict.NotRun,
+	}
+	j.deadline = r.Arrived.Add(waitOf(asked, route))
+	inner, stop := context.WithDeadline(ctx, time.Now().Add(j.deadline.Sub(p.settings.Clock())))
+	defer stop()
+	p.request(j.service)
+	if s := table.Services[j.service]; s.Engine != nil && route.Kind == hingeroutes.Stream && asked.Prompt > 0 {
+		p.stream(inner, j, s.Engine)
+		return
+	}
+	p.plain(inner, j)
+}
+
+// notReadyRetry is when a host that starts is likely to know its configuration.
+const notReadyRetry = 500 * time.Millisecond
+
+// waitOf is how long a request may be kept waiting.
+func waitOf(a Asked, r *hingeroutes.Route) time.Duration {
+	wait := r.Timeout
+	if wait == 0 {
+		wait = standardWait
+	}
+	if a.Left > 0 {
+		wait = min(wait, a.Left)
+	}
+	return wait
+}
+
+// left is how much time a job has.
+func (p *Proxy) left(j *job) time.Duration {
+	return j.deadline.Sub(p.settings.Clock())
+}
+
+func hostName(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// sent makes the message for one backend server.
+func (j *job) sent(d Dialect, s Sending) hingewire.Sent {
+	return hingewire.Sent{
+		Method: j.Method,
+		Target: j.Target,
+		Host:   j.Host,
+		Header: d.Outgoing(j.Header, s),
+		Body:   j.Body,
+	}
+}
+
+// note keeps what an attempt may have done.
+func (j *job) note(v hingeverdict.Verdict) {
+	if v != hingeverdict.NotRun {
+		j.ran = v
+		j.runs++
+	}
+}
--- /dev/null
+++ b/internal/path/hingeproxy/stream.go
@@ -0,0 +1,367 @@
+package hingeproxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
+	"github.com/swifthinge/swifthinge/internal/path/hingewire"
+)
+
+const (
+	// stallTime is how long an engine may be silent in the middle of a stream before
+	// another goes on, where that is allowed. Events come every 50 ms, 250 ms on an engine
+	// five times slower; callers give a silent stream up after two seconds and more.
+	stallTime = 1500 * time.Millisecond
+	// prefillTime bounds one prefill: ten times that of the longest prompt.
+	prefillTime = 2 * time.Second
+	// freeTime bounds the call that frees a KV cache; it lapses by itself soon after.
+	freeTime = 500 * time.Millisecond
+	// lastStreams is how long after the process was told to end streams are still begun. They last
+	// some four seconds, and the grace of today's deployments is eight.
+	lastStreams = 1500 * time.Millisecond
+	// hintMargin is what is added to a caller's estimate: half of the answers are
+	// longer than it, and the mean of what they are is an eighth more.
+	hintMargin = 1.12
+)
+
+// run is a stream on its way.
+type run struct {
+	*job
+	engine *hingeroutes.Engine
+	relay  relay
+	avoid  []hingeids.ServerID
+	// moved says that an engine broke off.
+	moved bool
+	tries int
+}
+
+// stream answers a request of a model service.
+func (p *Proxy) stream(ctx context.Context, j *job, e *hingeroutes.Engine) {
+	if p.tooLateToBegin() {
+		p.give(j, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeShuttingDown, shortestRetry, nil))
+		return
+	}
+	r := &run{
+		job:    j,
+		engine: e,
+	}
+	r.relay.last = j.asked.After
+	for {
+		err := p.attempt(ctx, r)
+		switch {
+		case err == nil:
+			p.streamed(r)
+			return
+		case context.Cause(ctx) == hingewire.ErrCallerLeft:
+			p.callerLeft(j)
+			return
+		case !p.moveOn(r, err):
+			p.give(j, err)
+			return
+		}
+	}
+}
+
+func (p *Proxy) tooLateToBegin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.drainingSince.IsZero() && p.settings.Clock().Sub(p.drainingSince) > lastStreams
+}
+
+func (p *Proxy) streamed(r *run) {
+	now := p.settings.Clock()
+	p.meter.streamed(now.Sub(r.Arrived), r.relay.firstAt.Sub(r.Arrived))
+	p.settings.Recorder.Record(now, hingeevents.RequestAnswered, hingeevents.Fields{
+		Asked: string(r.asked.ID),
+		Took:  now.Sub(r.Arrived),
+		Count: int64(r.relay.events),
+	})
+}
+
+// moveOn decides whether another attempt is made.
+func (p *Proxy) moveOn(r *run, err *hingeverdict.Error) bool {
+	if err.Code == hingeverdict.CodeNoRoom || err.Code == hingeverdict.CodeDeadline {
+		return false
+	}
+	if r.relay.begun {
+		r.moved = true
+	}
+	r.tries++
+	return p.again(r.job, err)
+}
+
+// want makes what is asked of the placer.
+func (p *Proxy) want(r *run) hingeplacer.Want {
+	made := hingeids.Tokens(r.relay.events) * r.engine.EventTokens
+	p.mu.Lock()
+	p.sequence++
+	n := p.sequence
+	p.mu.Unlock()
+	return hingeplacer.Want{
+		Service:  r.service,
+		ID:       hingefleet.StreamID(fmt.Sprintf("%s/%d", p.settings.Self.Host, n)),
+		Prompt:   r.asked.Prompt + made,
+		Expected: max(expected(r.asked, r.engine)-made, r.engine.EventTokens),
+		Waited:   p.settings.Clock().Sub(r.Arrived),
+		Target:   r.route.Target,
+		Patience: min(r.route.Patience, p.settings.Clock().Sub(r.Arrived)+p.left(r.job)),
+		Left:     p.left(r.job),
+		Moved:    r.moved,
+		Avoid:    r.avoid,
+	}
+}
+
+// expected is how many tokens an answer is expected to have.
+func expected(a Asked, e *hingeroutes.Engine) hingeids.Tokens {
+	t := a.Hint
+	if t <= 0 {
+		t = a.Longest / 2
+	}
+	t = hingeids.Tokens(hintMargin * float64(t))
+	if a.Longest > 0 {
+		t = min(t, a.Longest)
+	}
+	return max(t, e.EventTokens)
+}
+
+// attempt places a stream and runs it at the engines it was given.
+func (p *Proxy) attempt(ctx context.Context, r *run) *hingeverdict.Error {
+	w := p.want(r)
+	placed := p.owner.Place(ctx, w)
+	if placed.Refused {
+		return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoRoom, placed.RetryAfter, nil)
+	}
+	if placed.NotHere || placed.Decode == "" {
+		return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
+	}
+	p.settings.Recorder.Record(p.settings.Clock(), hingeevents.RequestPlaced, hingeevents.Fields{
+		Asked:  string(r.asked.ID),
+		Server: placed.Decode,
+		Took:   placed.Waited,
+		Count:  int64(placed.Peak),
+		Detail: fmt.Sprintf("prefill %s, alone %v, prompt %d, expected %d", placed.Prefill, placed.Alone, w.Prompt, w.Expected),
+	})
+	s := p.owner.Begin(w, placed)
+	defer s.End()
+	cache, err := p.prefill(ctx, r, placed.Prefill)
+	if err != nil {
+		p.blame(r, placed.Prefill, err)
+		return err
+	}
+	err = p.decode(ctx, r, placed.Decode, cache, s)
+	if err == nil {
+		p.owner.Tell(hingeplacer.Fault{
+			Service: r.service,
+			Server:  placed.Decode,
+			Worked:  true,
+		})
+		return nil
+	}
+	if err.Verdict == hingeverdict.NotRun || ctx.Err() != nil {
+		p.free(cache)
+	}
+	if context.Cause(ctx) == nil {
+		p.blame(r, placed.Decode, err)
+	}
+	return err
+}
+
+// blame keeps the rest of a request, and for a while other requests, away from an engine.
+func (p *Proxy) blame(r *run, id hingeids.ServerID, err *hingeverdict.Error) {
+	r.avoid = append(slices.Clip(r.avoid), id)
+	now := p.settings.Clock()
+	p.settings.Recorder.Record(now, hingeevents.ServerFailedRequest, hingeevents.Fields{
+		Asked:  string(r.asked.ID),
+		Server: id,
+		Took:   now.Sub(r.Arrived),
+		Detail: err.Error(),
+	})
+	if err.Code == hingeverdict.CodeDeadline {
+		return
+	}
+	p.owner.Tell(hingeplacer.Fault{
+		Service: r.service,
+		Server:  id,
+	})
+}
+
+// prefill has an engine work the prompt.
+func (p *Proxy) prefill(ctx context.Context, r *run, id hingeids.ServerID) (Cache, *hingeverdict.Error) {
+	address, ok := p.world.Address(id)
+	if !ok {
+		return Cache{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
+	}
+	one, stop := context.WithTimeout(ctx, prefillTime)
+	defer stop()
+	x, err := hingewire.Begin(one, address, r.sent(p.dialect, Sending{
+		Server:  id,
+		Left:    p.left(r.job),
+		Prefill: true,
+		After:   r.relay.last,
+	}))
+	if err != nil {
+		return Cache{}, notRun(hingeverdict.CodeServerFailed, err)
+	}
+	defer x.Close()
+	reply := p.dialect.Reply(x.Answer)
+	if x.Answer.StatusCode != http.StatusOK || reply.ID != "" && reply.ID != r.asked.ID {
+		return Cache{}, notRun(hingeverdict.CodeServerRefused,
+			eris.Errorf("prefill was answered with status %d", x.Answer.StatusCode))
+	}
+	body, err := x.Body()
+	if err != nil {
+		return Cache{}, notRun(hingeverdict.CodeAnswerCut, err)
+	}
+	cache, err := p.dialect.Cache(address, body)
+	if err != nil {
+		return Cache{}, notRun(hingeverdict.CodeAnswerNotOurs, err)
+	}
+	return cache, nil
+}
+
+// notRun makes the error of a prefill: it produces no part of an answer, so the
+// request itself has not run, whatever became of it.
+func notRun(code hingeverdict.Code, cause error) *hingeverdict.Error {
+	return hingeverdict.New(hingeverdict.NotRun, code, shortestRetry, cause)
+}
+
+// free gives an exported KV cache back (rule 5). The caller may be gone, so it has a
+// context of its own.
+func (p *Proxy) free(c Cache) {
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), freeTime)
+		defer stop()
+		method, path := p.dialect.Free(c)
+		x, err := hingewire.Begin(ctx, c.Address, hingewire.Sent{
+			Method: method,
+			Target: path,
+			Host:   c.Address,
+			Header: http.Header{},
+		})
+		if err != nil {
+			// It lapses within half a second.
+			p.settings.Recorder.Record(p.settings.Clock(), hingeevents.CancelUnanswered, hingeevents.Fields{
+				Detail: err.Error(),
+			})
+			return
+		}
+		x.Close()
+	}()
+}
+
+// decode has an engine stream the answer, and passes it on.
+func (p *Proxy) decode(ctx context.Context, r *run, id hingeids.ServerID, c Cache, s *hingeplacer.Stream) *hingeverdict.Error {
+	address, ok := p.world.Address(id)
+	if !ok {
+		return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
+	}
+	one, stop := context.WithCancel(ctx)
+	defer stop()
+	stall := newStall(p.stallTime(r), stop)
+	defer stall.end()
+	x, err := hingewire.Begin(one, address, r.sent(p.dialect, Sending{
+		Server: id,
+		Left:   p.left(r.job),
+		From:   c,
+		After:  r.relay.last,
+	}))
+	if err != nil {
+		return p.decodeFailed(ctx, r, verdictOf(err))
+	}
+	defer x.Close()
+	r.attempts++
+	reply := p.dialect.Reply(x.Answer)
+	if err := p.judge(r.job, x.Answer, reply); err != nil {
+		return p.decodeFailed(ctx, r, verdictOf(err))
+	}
+	if x.Answer.StatusCode != http.StatusOK {
+		return p.passFailure(r, x)
+	}
+	err = r.relay.pass(x, r.writer, func(events int) {
+		stall.moved()
+		now := p.settings.Clock()
+		if events == 1 {
+			r.relay.firstAt = now
+			p.settings.Recorder.Record(now, hingeevents.RequestFirstToken, hingeevents.Fields{
+				Asked:  string(r.asked.ID),
+				Server: id,
+				Took:   now.Sub(r.Arrived),
+			})
+		}
+		s.Made(hingeids.Tokens(events) * r.engine.EventTokens)
+	})
+	if err == nil {
+		r.note(hingeverdict.Ran)
+		return nil
+	}
+	return p.decodeFailed(ctx, r, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerCut, 0, err))
+}
+
+// decodeFailed notes what a failed run may have done, and names the deadline where that ended it.
+func (p *Proxy) decodeFailed(ctx context.Context, r *run, err *hingeverdict.Error) *hingeverdict.Error {
+	r.note(err.Verdict)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return hingeverdict.New(err.Verdict, hingeverdict.CodeDeadline, 0, err)
+	}
+	return err
+}
+
+// passFailure hands an engine's own failure on, as it is.
+func (p *Proxy) passFailure(r *run, x *hingewire.Exchange) *hingeverdict.Error {
+	r.note(hingeverdict.Ran)
+	body, err := x.Body()
+	if err != nil {
+		return hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerCut, 0, err)
+	}
+	if r.relay.begun || r.route.MayRepeat() && r.runs < r.route.Attempts {
+		return hingeverdict.New(hingeverdict.Ran, hingeverdict.CodeServerFailed, 0,
+			eris.Errorf("the engine failed with status %d", x.Answer.StatusCode))
+	}
+	p.deliver(r.job, &whole{
+		response: x.Answer,
+		body:     body,
+	})
+	return nil
+}
+
+// stallTime is how long an engine may be silent: where nobody else may go on,
+// as long as the caller waits.
+func (p *Proxy) stallTime(r *run) time.Duration {
+	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
+		return p.left(r.job)
+	}
+	return stallTime
+}
+
+// stall ends an exchange that has gone silent.
+type stall struct {
+	timer *time.Timer
+	wait  time.Duration
+}
+
+func newStall(wait time.Duration, stop func()) *stall {
+	return &stall{
+		timer: time.AfterFunc(wait, stop),
+		wait:  wait,
+	}
+}
+
+func (s *stall) moved() {
+	s.timer.Reset(s.wait)
+}
+
+func (s *stall) end() {
+	s.timer.Stop()
+}
--- /dev/null
+++ b/internal/serve/hingecontrol/control.go
@@ -0,0 +1,299 @@
+// Package hingecontrol joins the parts of a control host: it agrees with the
+// others on the configuration, hears the backend servers, tells everyone else, and
+// places streams while it leads.
+//
+//  1. A change is accepted once a quorum of control hosts holds it on disk.
+//  2. A read gives nothing older than what was accepted before it, or fails.
+//  3. The first start of all founds the group with the seeds; later a host joins
+//     the group it finds through its seeds, with whatever its disk holds.
+package hingecontrol
+
+import (
+	"context"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
+	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
+	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
+	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/link/hingelink"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
+	"github.com/swifthinge/swifthinge/internal/membership/hingefollow"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeworld"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
+)
+
+// Options of a control host.
+type Options struct {
+	Life      hingeids.Life
+	Link      string
+	AddressOf func(hingeids.HostID) (string, error)
+	Seeds     []hingeids.HostID
+	// Founds says that the whole system starts for the first time.
+	Founds bool
+	// Voters is how many control hosts are to vote.
+	Voters int
+	// Data is the folder of the host's disk.
+	Data     string
+	Parse    func(body []byte) (*hingeroutes.Table, error)
+	Recorder *hingeevents.Recorder
+}
+
+const (
+	// election and heartbeat are longer than hingelog's defaults: disks here take up
+	// to 25 times their 5 ms for a sync at bad moments, and a leader that is
+	// voted out for it costs more than the half second that a true loss is noticed later.
+	election  = 900 * time.Millisecond
+	heartbeat = 200 * time.Millisecond
+	// stepEvery is how often silent backend servers are looked for.
+	stepEvery = 250 * time.Millisecond
+	// openTries and openPause bound how long a disk that refuses writes is waited for at the start.
+	openTries = 100
+	openPause = 300 * time.Millisecond
+)
+
+// Control is a control host.
+type Control struct {
+	options  Options
+	link     *hingelink.QUIC
+	machine  *hingeversion.Machine
+	group    *hingegroup.Group
+	source   *hingefollow.Source
+	follower *hingefollow.Follower
+	placer   *hingeplacer.Placer
+	world    hingeboard.Cell[hingeworld.World]
+	done     chan struct{}
+}
+
+// New makes a control host.
+func New(ctx context.Context, o Options) (*Control, error) {
+	c := &Control{
+		options: o,
+		machine: hingeversion.New(),
+		done:    make(chan struct{}),
+	}
+	c.world.Store(hingeworld.Build(nil, nil))
+	var err error
+	c.link, err = hingelink.NewQUIC(hingelink.Config{
+		Self:        o.Life.Host,
+		Incarnation: o.Life.Incarnation,
+		Listen:      o.Link,
+		AddressOf:   o.AddressOf,
+		Insecure:    true,
+		Recorder:    o.Recorder,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if c.group, err = c.openGroup(ctx); err != nil {
+		return nil, err
+	}
+	c.source = hingefollow.NewSource(o.Life, c, hingeclock.Boot, c.link)
+	c.follower = hingefollow.New(hingefollow.Settings{
+		Self:  o.Life.Host,
+		Clock: hingeclock.Boot,
+		Took: func(now time.Time, records []hingeannounce.Record) {
+			c.source.Merge(now, records)
+		},
+	}, c.link, o.Seeds)
+	c.placer = hingeplacer.New(c, c.leads, hingeclock.Boot)
+	c.placer.Handle(c.link)
+	return c, nil
+}
+
+// openGroup opens the journal; a disk that is full when the process starts is waited for.
+func (c *Control) openGroup(ctx context.Context) (*hingegroup.Group, error) {
+	var last error
+	for range openTries {
+		files, err := hingejournal.Folder(filepath.Join(c.options.Data, "config"))
+		if err == nil {
+			var g *hingegroup.Group
+			if g, err = c.newGroup(files); err == nil {
+				return g, nil
+			}
+		}
+		last = err
+		c.options.Recorder.Record(time.Now(), hingeevents.JournalFailed, hingeevents.Fields{
+			Detail: err.Error(),
+		})
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(openPause):
+		}
+	}
+	return nil, eris.Wrap(last, "open the configuration's journal")
+}
+
+func (c *Control) newGroup(files hingejournal.Files) (*hingegroup.Group, error) {
+	o := c.options
+	return hingegroup.New(hingegroup.Settings{
+		Name:      "config",
+		Self:      o.Life.Host,
+		Hosts:     o.Seeds,
+		Open:      true,
+		Joins:     !o.Founds,
+		Voters:    o.Voters,
+		Election:  election,
+		Heartbeat: heartbeat,
+		Clock:     hingeclock.Boot,
+		Today:     time.Now,
+		Seed:      uint64(o.Life.Incarnation),
+		Recorder:  o.Recorder,
+	}, c.link, files, c.machine)
+}
+
+// Done closes when Run has ended.
+func (c *Control) Done() <-chan struct{} {
+	return c.done
+}
+
+// Run serves until the context ends.
+func (c *Control) Run(ctx context.Context) error {
+	defer close(c.done)
+	group, ctx := errgroup.WithContext(ctx)
+	for _, part := range []func(context.Context) error{
+		c.link.Run, c.group.Run, c.follower.Run, c.placer.Run, c.step, c.watchLeader, c.watchWorld,
+	} {
+		group.Go(func() error {
+			return part(ctx)
+		})
+	}
+	return group.Wait()
+}
+
+// step looks for backend servers that have gone silent.
+func (c *Control) step(ctx context.Context) error {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.source.Step(hingeclock.Boot())
+		}
+	}
+}
+
+// watchLeader tells followers when another host leads: they place streams there.
+func (c *Control) watchLeader(ctx context.Context) error {
+	known := hingeids.HostID("")
+	for {
+		changed := c.group.Standings().Changed()
+		if l := c.group.Leader(); l != known {
+			known = l
+			c.source.Wake()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// watchWorld keeps the world that streams are placed in.
+func (c *Control) watchWorld(ctx context.Context) error {
+	var table *hingeroutes.Table
+	for {
+		documents := c.machine.Views().Changed()
+		servers := c.source.Changed()
+		if d := c.machine.Views().Load(); d.Version > 0 && (table == nil || table.Version < uint64(d.Version)) {
+			t, err := c.options.Parse(d.Body)
+			if err != nil {
+				c.options.Recorder.Record(time.Now(), hingeevents.RevisionUnread, hingeevents.Fields{
+					Revision: hingeids.Revision(d.Version),
+					Detail:   err.Error(),
+				})
+			} else {
+				table = t
+			}
+		}
+		c.world.Store(hingeworld.Build(table, c.source.Records()))
+		select {
+		case <-documents:
+		case <-servers:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Engines gives the engines that may be used.
+func (c *Control) Engines() map[hingeids.Service][]hingefleet.Engine {
+	return c.world.Load().Engines()
+}
+
+func (c *Control) leads() bool {
+	_, leads := c.group.Leading(hingeclock.Boot())
+	return leads
+}
+
+// Documents is where each accepted configuration is published.
+func (c *Control) Documents() *hingeboard.Cell[hingeversion.Document] {
+	return c.machine.Views()
+}
+
+// Read waits until the newest document is no older than any accepted before the call (rule 2).
+func (c *Control) Read(ctx context.Context) error {
+	_, err := c.group.Read(ctx)
+	return err
+}
+
+// Standing is what this host knows of the group.
+func (c *Control) Standing() hingefollow.Standing {
+	s := c.group.Standing()
+	out := hingefollow.Standing{
+		Leader:  s.Leader.Host,
+		Term:    uint64(s.Term),
+		InTouch: !s.Leader.IsZero(),
+	}
+	for _, m := range s.Members.All() {
+		out.Members = append(out.Members, m.Host)
+	}
+	return out
+}
+
+// Announce takes what a backend server says of itself.
+func (c *Control) Announce(now time.Time, a hingeannounce.Announcement) {
+	if c.source.Hear(now, a) {
+		c.options.Recorder.Record(time.Now(), hingeevents.ServerUsable, hingeevents.Fields{
+			Server: a.Server,
+			Zone:   a.Zone,
+		})
+	}
+}
+
+// Leave takes a backend server's word that it leaves.
+func (c *Control) Leave(now time.Time, id hingeids.ServerID) {
+	c.source.Leave(now, id)
+	c.options.Recorder.Record(time.Now(), hingeevents.ServerGone, hingeevents.Fields{
+		Server: id,
+	})
+}
+
+// Change has a configuration accepted (rule 1). The error carries the verdict.
+func (c *Control) Change(ctx context.Context, d hingeversion.Document) error {
+	body, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = c.group.Propose(ctx, body)
+	return err
+}
+
+// Reseed takes other seeds.
+func (c *Control) Reseed(seeds []hingeids.HostID) {
+	c.follower.Reseed(seeds)
+	c.group.Meet(seeds)
+}
--- /dev/null
+++ b/internal/serve/hingefront/world.go
@@ -0,0 +1,56 @@
+package hingefront
+
+import (
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/path/hingeproxy"
+)
+
+var (
+	_ hingeproxy.World   = (*Front)(nil)
+	_ hingeplacer.Fleets = (*Front)(nil)
+)
+
+// Table gives the routes in force, nil before any are known.
+func (f *Front) Table() *hingeroutes.Table {
+	return f.world.Load().Table()
+}
+
+// Replicas gives the replicas of a service that may be used.
+func (f *Front) Replicas(s hingeids.Service) []hingebalance.Replica {
+	return f.world.Load().Replicas(s)
+}
+
+// Address gives a server's address.
+func (f *Front) Address(id hingeids.ServerID) (string, bool) {
+	return f.world.Load().Address(id)
+}
+
+// Engines gives the engines that may be used.
+func (f *Front) Engines() map[hingeids.Service][]hingefleet.Engine {
+	return f.world.Load().Engines()
+}
+
+// Entries is how many entry hosts there are.
+func (f *Front) Entries() int {
+	return max(f.follower.State().Load().Entries, 1)
+}
+
+// controlSilence is how long after the last word of a control host in touch the
+// placer named there is still asked: a question waits for two seconds.
+const controlSilence = 3 * time.Second
+
+// Placer names the host that places streams.
+func (f *Front) Placer() hingeids.HostID {
+	s := f.follower.State().Load()
+	if hingeclock.Boot().Sub(s.HeardAt) > controlSilence {
+		return ""
+	}
+	return s.Leader
+}
