--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -23,6 +23,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
@@ -54,6 +55,7 @@
 	engines Engines
 	leads   func() bool
 	clock   func() time.Time
+	demands hingeboard.Cell[map[hingeids.Service]hingefleet.Demand]
 	inbox   chan func(now time.Time)
 	done    chan struct{}
 
@@ -100,6 +102,15 @@
 	})
 }
 
+// Demands gives what comes for each service, in engines; nothing while this host doesn't place.
+func (p *Placer) Demands() map[hingeids.Service]hingefleet.Demand {
+	d := p.demands.Load()
+	if d == nil {
+		return nil
+	}
+	return *d
+}
+
 // Done closes when Run has ended.
 func (p *Placer) Done() <-chan struct{} {
 	return p.done
@@ -212,7 +223,7 @@
 		return
 	}
 	p.waiting[w.ID] = answer
-	p.fleet(w.Service).Offer(w.wanted(now, owner))
+	p.fleet(w.Service).Offer(now, w.wanted(now, owner))
 }
 
 func (p *Placer) cancel(w Want) {
@@ -264,7 +275,10 @@
 	}
 	engines := p.engines.Engines()
 	left := 0
+	demands := make(map[hingeids.Service]hingefleet.Demand, len(p.fleets))
+	defer p.demands.Store(&demands)
 	for s, f := range p.fleets {
+		demands[s] = f.Demand(now)
 		f.SetEngines(engines[s])
 		for _, d := range f.Step(now) {
 			p.answer(d)
@@ -276,6 +290,7 @@
 
 // stepDown hands all that waits back to its owners.
 func (p *Placer) stepDown() {
+	p.demands.Store(&map[hingeids.Service]hingefleet.Demand{})
 	p.ledSince = time.Time{}
 	for id, answer := range p.waiting {
 		answer <- Placement{
--- /dev/null
+++ b/internal/decide/hingefleet/demand.go
@@ -0,0 +1,85 @@
+package hingefleet
+
+import (
+	"math"
+	"time"
+)
+
+// Demand is what comes for each role, in engines.
+type Demand struct {
+	Prefill float64
+	Decode  float64
+}
+
+// demandTime is the time over which demand is averaged: longer than a stream's life of some
+// seconds, so that single streams don't move it, and shorter than a change of role takes.
+const demandTime = 5 * time.Second
+
+// demand averages what is asked for, whatever becomes of it: at saturation
+// only that tells which role is short.
+type demand struct {
+	// prompts is prompt tokens, held is token-seconds of decode memory; both fade.
+	prompts float64
+	held    float64
+	at      time.Time
+	// since is when the first want came.
+	since time.Time
+}
+
+func (d *demand) add(now time.Time, w Want, tokensPerSecond float64) {
+	d.fade(now)
+	if d.since.IsZero() {
+		d.since = now
+	}
+	life := float64(w.Expected) / tokensPerSecond
+	d.prompts += float64(w.Prompt)
+	d.held += (float64(w.Prompt) + float64(w.Expected)/2) * life
+}
+
+func (d *demand) fade(now time.Time) {
+	if passed := now.Sub(d.at); passed > 0 {
+		keep := math.Exp(-passed.Seconds() / demandTime.Seconds())
+		d.prompts *= keep
+		d.held *= keep
+		d.at = now
+	}
+}
+
+// Demand gives what has come lately. It is zero until enough has come to tell.
+func (f *Fleet) Demand(now time.Time) Demand {
+	f.demand.fade(now)
+	span := min(now.Sub(f.demand.since), demandTime).Seconds()
+	memory := 0.0
+	for _, e := range f.engines {
+		if e.Role == Decode {
+			memory = max(memory, float64(e.Memory))
+		}
+	}
+	if f.demand.since.IsZero() || now.Sub(f.demand.since) < demandTime/2 || memory == 0 {
+		return Demand{}
+	}
+	// An average that fades holds what came within its time, less of it while it is young.
+	full := demandTime.Seconds() * (1 - math.Exp(-span/demandTime.Seconds()))
+	if now.Sub(f.demand.since) > 3*demandTime {
+		full = demandTime.Seconds()
+	}
+	return Demand{
+		Prefill: f.demand.prompts / full / prefillPace,
+		Decode:  f.demand.held / full / (memory * memoryShare),
+	}
+}
+
+// pace is the mean pace of the decode engines.
+func (f *Fleet) pace() float64 {
+	sum, n := 0.0, 0
+	for _, e := range f.engines {
+		if e.Role == Decode {
+			sum += e.tokensPerSecond
+			n++
+		}
+	}
+	if n == 0 {
+		return startPace
+	}
+	return sum / float64(n)
+}
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -167,6 +167,7 @@
 	// finished are the newest ends of streams, for the drain rate of rule 5.
 	finished []time.Time
 	scratch  []load
+	demand   demand
 }
 
 // New makes an empty fleet.
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -19,10 +19,17 @@
 )
 
 // Offer puts a want into the queue; Step decides on it.
-func (f *Fleet) Offer(w Want) {
+func (f *Fleet) Offer(now time.Time, w Want) {
 	f.queue = append(f.queue, &w)
+	if now.Sub(w.Arrived) < firstOffer && !w.Moved && !w.Cached {
+		f.demand.add(now, w, f.pace())
+	}
 }
 
+// firstOffer tells a want that is new from one that is offered again while it
+// waits, which comes a quarter of a second later at the earliest.
+const firstOffer = 200 * time.Millisecond
+
 // Step forgets what is over and decides on what waits.
 func (f *Fleet) Step(now time.Time) []Decision {
 	f.expire(now)
--- a/internal/decide/hingeshift/shift.go
+++ b/internal/decide/hingeshift/shift.go
@@ -82,6 +82,12 @@
 	}
 }
 
+// SetChange takes another time for what a change costs at present: one that is
+// made from a pool with an engine to spare costs less than one that leaves work behind.
+func (s *Shifter) SetChange(d time.Duration) {
+	s.config.Change = d
+}
+
 // Decide gives the shift to make now, if there is one. It is called about once a
 // second; the caller drains the engine and then orders the change.
 //
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -19,6 +19,7 @@
 	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
+	"github.com/swifthinge/swifthinge/internal/capacity/hingeorders"
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
@@ -44,8 +45,10 @@
 	// Voters is how many control hosts are to vote.
 	Voters int
 	// Data is the folder of the host's disk.
-	Data     string
-	Parse    func(body []byte) (*hingeroutes.Table, error)
+	Data  string
+	Parse func(body []byte) (*hingeroutes.Table, error)
+	// Engines reaches engines for orders, at the addresses that it is given.
+	Engines  func(address func(hingeids.ServerID) (string, bool)) hingeorders.Engines
 	Recorder *hingeevents.Recorder
 }
 
@@ -71,8 +74,13 @@
 	source   *hingefollow.Source
 	follower *hingefollow.Follower
 	placer   *hingeplacer.Placer
-	world    hingeboard.Cell[hingeworld.World]
-	done     chan struct{}
+	roles    *roles
+	// away are the engines that change their role; settled is the term in which
+	// this host has led for long enough to give orders.
+	away    hingeboard.Cell[map[hingeids.ServerID]bool]
+	settled hingeboard.Cell[hingeids.Fence]
+	world   hingeboard.Cell[hingeworld.World]
+	done    chan struct{}
 }
 
 // New makes a control host.
@@ -108,6 +116,9 @@
 	}, c.link, o.Seeds)
 	c.placer = hingeplacer.New(c, c.places, hingeclock.Boot)
 	c.placer.Handle(c.link)
+	c.roles = newRoles(c, o.Engines(func(id hingeids.ServerID) (string, bool) {
+		return c.world.Load().Address(id)
+	}))
 	return c, nil
 }
 
@@ -164,6 +175,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for _, part := range []func(context.Context) error{
 		c.link.Run, c.group.Run, c.follower.Run, c.placer.Run, c.step, c.watchLeader, c.watchWorld,
+		c.roles.run, c.roles.orders.Run,
 	} {
 		group.Go(func() error {
 			return part(ctx)
@@ -231,26 +243,30 @@
 }
 
 // Engines gives the engines that streams may be placed on: all of them for the leader, those
-// of the own zone for a host that hears no leader (hingeplacer rule 1).
+// of the own zone for a host that hears no leader (hingeplacer rule 1), and
+// none that changes its role.
 func (c *Control) Engines() map[hingeids.Service][]hingefleet.Engine {
 	all := c.world.Load().Engines()
-	if c.leads() {
-		return all
+	leads := c.leads()
+	away := map[hingeids.ServerID]bool{}
+	if a := c.away.Load(); a != nil {
+		away = *a
 	}
-	near := make(map[hingeids.Service][]hingefleet.Engine, len(all))
+	out := make(map[hingeids.Service][]hingefleet.Engine, len(all))
 	for s, list := range all {
 		for _, e := range list {
-			if e.Zone == c.options.Zone {
-				near[s] = append(near[s], e)
+			if !away[e.Server] && (leads || e.Zone == c.options.Zone) {
+				out[s] = append(out[s], e)
 			}
 		}
 	}
-	return near
+	return out
 }
 
+// leads reports whether this host was elected, whether or not its lease holds at the
+// moment: placing is advice, and a lease that lapses for a heartbeat is no reason to forget the fleet.
 func (c *Control) leads() bool {
-	_, leads := c.group.Leading(hingeclock.Boot())
-	return leads
+	return c.group.Standing().Leads
 }
 
 // places reports whether streams are placed here.
--- /dev/null
+++ b/internal/serve/hingecontrol/roles.go
@@ -0,0 +1,256 @@
+package hingecontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/capacity/hingeorders"
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingeshift"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
+)
+
+const (
+	// planFor is the burst that roles are planned for: twice and a half the mean
+	// demand of some seconds. Roles take longer to change than a burst lasts, so it
+	// is the next burst that a change is for.
+	planFor = 2.5
+	// rolesEvery is how often roles are thought of.
+	rolesEvery = 500 * time.Millisecond
+	// holdFor is how long the same change must be worth it, rest the pause between two:
+	// longer than a change takes, so that its effect is seen before the next.
+	holdFor = 3 * time.Second
+	rest    = 9 * time.Second
+	// mostLast bounds how long a demand is taken to last.
+	mostLast = time.Minute
+	// idleCost is the share of a change's time that counts where the engine's pool can spare
+	// it even at the planned burst: nobody misses it, but the order itself may go wrong.
+	idleCost = 0.2
+	// orderTime bounds an order's way to an engine; it is well within the leader's lease.
+	orderTime = 300 * time.Millisecond
+	// settle is how long a new leader gives no orders: those of the one before
+	// are over then, and engines never hear two issuers by turns.
+	settle = 4 * time.Second
+	// changeWait is how long an engine that was ordered to change is left out of
+	// placing at most, until it announces its new role.
+	changeWait = 15 * time.Second
+)
+
+// roles has engines change between prefill and decode as the demand asks.
+type roles struct {
+	control  *Control
+	orders   *hingeorders.Orders
+	shifters map[hingeids.Service]*hingeshift.Shifter
+	// changing are the engines under orders.
+	changing map[hingeids.ServerID]change
+	// ledSince is when this host began to lead, in its term.
+	ledSince time.Time
+	term     hingeids.Fence
+}
+
+// change is an engine on its way to another role.
+type change struct {
+	role  hingefleet.Role
+	since time.Time
+}
+
+func newRoles(c *Control, e hingeorders.Engines) *roles {
+	r := &roles{
+		control:  c,
+		shifters: make(map[hingeids.Service]*hingeshift.Shifter),
+		changing: make(map[hingeids.ServerID]change),
+	}
+	r.orders = hingeorders.New(hingeorders.Config{
+		Settings: hingeorders.Settings{
+			OrderTime: orderTime,
+		},
+		Engines: e,
+		Lease:   issuer{group: c},
+		Events:  c.options.Recorder,
+		Clock:   hingeclock.Boot,
+	})
+	return r
+}
+
+// issuer lets a leader give orders once it has led for a while.
+type issuer struct {
+	group *Control
+}
+
+// Holder gives the leader's term as the fencing number.
+func (i issuer) Holder(now time.Time) (hingeids.Fence, time.Time, bool) {
+	s := i.group.group.Standing()
+	settled := i.group.settled.Load()
+	if settled == nil || *settled != hingeids.Fence(s.Term) || !s.Leads {
+		return 0, time.Time{}, false
+	}
+	return hingeids.Fence(s.Term), s.LeadsUntil, now.Before(s.LeadsUntil)
+}
+
+// run decides until the context ends.
+func (r *roles) run(ctx context.Context) error {
+	ticker := time.NewTicker(rolesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.step(hingeclock.Boot())
+		}
+	}
+}
+
+func (r *roles) step(now time.Time) {
+	s := r.control.group.Standing()
+	term := hingeids.Fence(s.Term)
+	if !s.Leads {
+		r.stepDown()
+		return
+	}
+	if r.ledSince.IsZero() || r.term != term {
+		r.ledSince = now
+		r.term = term
+	}
+	if now.Sub(r.ledSince) < settle {
+		return
+	}
+	r.control.settled.Store(&term)
+	world := r.control.world.Load()
+	r.forget(now, world.Engines())
+	table := world.Table()
+	if table == nil {
+		return
+	}
+	for s, demand := range r.control.placer.Demands() {
+		if e := table.Services[s].Engine; e != nil {
+			r.shift(now, s, e, world.Engines()[s], demand)
+		}
+	}
+	r.publish(world.Engines())
+}
+
+func (r *roles) stepDown() {
+	r.ledSince = time.Time{}
+	if len(r.changing) == 0 && len(r.shifters) == 0 {
+		return
+	}
+	clear(r.changing)
+	clear(r.shifters)
+	r.publish(nil)
+}
+
+// forget drops the changes that were made, or that nobody makes any more.
+func (r *roles) forget(now time.Time, engines map[hingeids.Service][]hingefleet.Engine) {
+	present := make(map[hingeids.ServerID]hingefleet.Role)
+	for _, list := range engines {
+		for _, e := range list {
+			present[e.Server] = e.Role
+		}
+	}
+	for id, c := range r.changing {
+		role, there := present[id]
+		if !there || role == c.role || now.Sub(c.since) > changeWait {
+			delete(r.changing, id)
+		}
+	}
+}
+
+var kindOf = map[hingefleet.Role]hingeannounce.Kind{
+	hingefleet.Prefill: hingeannounce.Prefill,
+	hingefleet.Decode:  hingeannounce.Decode,
+}
+
+// shift decides for one service. Roles are planned for a burst; at the demand of the
+// moment both would look well, and the next burst would find the wrong one short.
+func (r *roles) shift(
+	now time.Time, s hingeids.Service, e *hingeroutes.Engine, list []hingefleet.Engine, d hingefleet.Demand,
+) {
+	shifter := r.shifters[s]
+	if shifter == nil {
+		shifter = hingeshift.New(hingeshift.Config{
+			Change:   e.RoleTime,
+			HoldFor:  holdFor,
+			Rest:     rest,
+			MostLast: mostLast,
+		})
+		r.shifters[s] = shifter
+	}
+	engines, prefills := r.standing(list)
+	planned := hingeshift.Demand{
+		Prefill: planFor * d.Prefill,
+		Decode:  planFor * d.Decode,
+	}
+	cost := e.RoleTime
+	if float64(prefills-1) >= planned.Prefill {
+		cost = time.Duration(idleCost * float64(cost))
+	}
+	shifter.SetChange(cost)
+	shift, ok := shifter.Decide(now, engines, planned)
+	if !ok {
+		return
+	}
+	role := hingefleet.Prefill
+	if shift.To == hingeannounce.Decode {
+		role = hingefleet.Decode
+	}
+	r.changing[shift.Server] = change{
+		role:  role,
+		since: now,
+	}
+	r.control.options.Recorder.Record(time.Now(), hingeevents.RoleShifted, hingeevents.Fields{
+		Server: shift.Server,
+		Fence:  r.term,
+		Detail: string(shift.To),
+	})
+}
+
+// standing gives the engines as they will be once the changes under way are made.
+func (r *roles) standing(list []hingefleet.Engine) (engines []hingeshift.Engine, prefills int) {
+	for _, e := range list {
+		role := e.Role
+		if c, there := r.changing[e.Server]; there {
+			role = c.role
+		}
+		if role == hingefleet.Prefill {
+			prefills++
+		}
+		engines = append(engines, hingeshift.Engine{
+			Server: e.Server,
+			Kind:   kindOf[role],
+		})
+	}
+	return engines, prefills
+}
+
+// publish hands the changes to whoever gives the orders, and to the placing.
+func (r *roles) publish(engines map[hingeids.Service][]hingefleet.Engine) {
+	var wants []hingeorders.Want
+	var ordered []hingeorders.Engine
+	away := make(map[hingeids.ServerID]bool, len(r.changing))
+	for _, list := range engines {
+		for _, e := range list {
+			c, there := r.changing[e.Server]
+			if !there {
+				continue
+			}
+			away[e.Server] = true
+			wants = append(wants, hingeorders.Want{
+				Engine: e.Server,
+				Role:   hingeorders.Role(kindOf[c.role]),
+			})
+			ordered = append(ordered, hingeorders.Engine{
+				ID:          e.Server,
+				Incarnation: 1,
+				ChecksFence: true,
+			})
+		}
+	}
+	r.control.away.Store(&away)
+	r.orders.SetEngines(ordered)
+	r.orders.SetWants(wants)
+}
