--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -64,16 +64,16 @@
 	Peak   int           `cbor:"8,keyasint,omitempty"`
 }
 
-// Fault is an engine that didn't do what it was asked, or did again.
-type Fault struct {
-	Service hingeids.Service  `cbor:"1,keyasint"`
-	Server  hingeids.ServerID `cbor:"2,keyasint"`
-	Worked  bool              `cbor:"3,keyasint,omitempty"`
+// Note is how an engine did what it was asked.
+type Note struct {
+	Service hingeids.Service   `cbor:"1,keyasint"`
+	Server  hingeids.ServerID  `cbor:"2,keyasint"`
+	Outcome hingefleet.Outcome `cbor:"3,keyasint,omitempty"`
 }
 
 // report is all that an owner says of its streams.
 type report struct {
 	Sequence uint64                                     `cbor:"1,keyasint"`
 	Streams  map[hingeids.Service][]hingefleet.Progress `cbor:"2,keyasint,omitempty"`
-	Faults   []Fault                                    `cbor:"3,keyasint,omitempty"`
+	Notes    []Note                                     `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -9,8 +9,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
 
 const (
@@ -23,10 +25,12 @@
 	reportTime = time.Second
 	// reachTime is how long a placer may take to answer beyond its hold time:
 	// a round trip between zones, and a busy moment of a small host.
-	reachTime = 120 * time.Millisecond
-	// silentFor is how long a placer that didn't answer isn't asked: streams that
-	// come meanwhile don't wait for it one after the other.
-	silentFor = 500 * time.Millisecond
+	reachTime = 250 * time.Millisecond
+	// silentFor is how long a placer that didn't answer twice in a row isn't asked: streams that
+	// come meanwhile don't wait for it one after the other. Once may be a
+	// lost packet.
+	silentFor   = 500 * time.Millisecond
+	silentAfter = 2
 	// ownLimit is how full an engine is made by a host that places alone
 	// (rule 3), as a share of its share: the others' bursts don't add up to more.
 	ownLimit = 1.2
@@ -43,20 +47,23 @@
 
 // Owner is an entry host's side: it asks for placements and reports its streams.
 type Owner struct {
-	self   hingeids.HostID
-	link   hingelink.Link
-	fleets Fleets
-	clock  func() time.Time
-	alone  *Placer
-	done   chan struct{}
-	dirty  chan struct{}
+	self     hingeids.HostID
+	link     hingelink.Link
+	fleets   Fleets
+	clock    func() time.Time
+	alone    *Placer
+	recorder *hingeevents.Recorder
+	done     chan struct{}
+	dirty    chan struct{}
 
 	mu       sync.Mutex
 	sequence uint64
 	streams  map[hingefleet.StreamID]*Stream
-	faults   []Fault
+	notes    []Note
 	// silent says until when a placer isn't asked.
 	silent map[hingeids.HostID]time.Time
+	// missed counts the questions in a row that a placer didn't answer.
+	missed map[hingeids.HostID]int
 }
 
 // Stream is one stream that this host owns.
@@ -67,16 +74,19 @@
 }
 
 // NewOwner makes an entry host's side.
-func NewOwner(self hingeids.HostID, link hingelink.Link, f Fleets, clock func() time.Time) *Owner {
+func NewOwner(
+	self hingeids.HostID, link hingelink.Link, f Fleets, clock func() time.Time, r *hingeevents.Recorder,
+) *Owner {
 	o := &Owner{
-		self:    self,
-		link:    link,
-		fleets:  f,
-		clock:   clock,
-		done:    make(chan struct{}),
-		dirty:   make(chan struct{}, 1),
-		streams: make(map[hingefleet.StreamID]*Stream),
-		silent:  make(map[hingeids.HostID]time.Time),
+		recorder: r,
+		self:     self,
+		link:     link,
+		fleets:   f,
+		clock:    clock,
+		done:     make(chan struct{}),
+		dirty:    make(chan struct{}, 1),
+		streams:  make(map[hingefleet.StreamID]*Stream),
+		silent:   make(map[hingeids.HostID]time.Time),
 		// A new placer must hear of all streams; an old number would be passed over.
 		sequence: uint64(clock().UnixNano()),
 	}
@@ -135,8 +145,15 @@
 			continue
 		}
 		a, err := o.ask(ctx, h, w)
+		if ctx.Err() != nil {
+			break
+		}
+		o.noteAnswer(h, err)
 		if err != nil {
-			o.noteSilent(h)
+			o.recorder.Record(time.Now(), hingeevents.PlacerSilent, hingeevents.Fields{
+				Host:   h,
+				Detail: err.Error(),
+			})
 			continue
 		}
 		if !a.NotHere {
@@ -154,10 +171,19 @@
 	return o.clock().Before(o.silent[h])
 }
 
-func (o *Owner) noteSilent(h hingeids.HostID) {
+// noteAnswer notes whether a placer answered. One that the link knows to be away is not
+// asked for a while at once.
+func (o *Owner) noteAnswer(h hingeids.HostID, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.silent[h] = o.clock().Add(silentFor)
+	if err == nil {
+		delete(o.missed, h)
+		return
+	}
+	o.missed[h]++
+	if o.missed[h] >= silentAfter || hingeverdict.Of(err) == hingeverdict.NotRun {
+		o.silent[h] = o.clock().Add(silentFor)
+	}
 }
 
 func (o *Owner) ask(ctx context.Context, h hingeids.HostID, w Want) (Placement, error) {
@@ -215,10 +241,10 @@
 	o.changed()
 }
 
-// Tell reports that an engine failed, or worked again.
-func (o *Owner) Tell(f Fault) {
+// Tell reports how an engine did.
+func (o *Owner) Tell(n Note) {
 	o.mu.Lock()
-	o.faults = append(o.faults, f)
+	o.notes = append(o.notes, n)
 	o.mu.Unlock()
 	o.changed()
 }
@@ -303,9 +329,9 @@
 	r := report{
 		Sequence: o.sequence,
 		Streams:  make(map[hingeids.Service][]hingefleet.Progress),
-		Faults:   o.faults,
+		Notes:    o.notes,
 	}
-	o.faults = nil
+	o.notes = nil
 	for _, s := range o.streams {
 		r.Streams[s.service] = append(r.Streams[s.service], s.progress)
 	}
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -252,12 +252,8 @@
 	for s, f := range p.fleets {
 		f.Report(now, owner, r.Streams[s])
 	}
-	for _, x := range r.Faults {
-		if x.Worked {
-			p.fleet(x.Service).Worked(x.Server)
-			continue
-		}
-		p.fleet(x.Service).Failed(now, x.Server)
+	for _, n := range r.Notes {
+		p.fleet(n.Service).Note(now, n.Server, n.Outcome)
 	}
 }
 
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -21,9 +21,11 @@
 //     has part of the answer, and its prefill has been paid once.
 //  5. What can't be served before its caller loses patience is refused at once, with
 //     the time after which the work ahead of it will have drained.
-//  6. An engine that failed is left alone for a while, doubled with each failure
-//     in a row; one that is far slower than the others gets work only if
-//     no other has room.
+//  6. An engine that can't be reached, or fails a good part of what it is sent, is
+//     left alone for a while, doubled each time in a row. Single failures come from
+//     good engines too, and to leave those alone would take a sixth of the memory
+//     away for one lost answer. One that is far slower than the others gets work
+//     only if no other has room.
 //  7. What is believed of streams comes from the hosts that own them; between two
 //     reports a stream is taken to go on at its engine's pace.
 package hingefleet
@@ -128,8 +130,10 @@
 	tokensPerSecond float64
 	// freeAt is when the prefill work handed out so far is done.
 	freeAt time.Time
-	// failures in a row, and until when it is left alone (rule 6).
-	failures int
+	// failing is the share of failures of late; leaves counts how often in a row
+	// it was left alone, awayTill until when (rule 6).
+	failing  float64
+	leaves   int
 	awayTill time.Time
 }
 
@@ -152,10 +156,17 @@
 	// report. A live one reports twice a second; a dead one's connections to its engines
 	// are closed by then.
 	ownerSilence = 2500 * time.Millisecond
-	// firstAway is how long an engine is left alone after a failure, longestAway after
-	// many: one that restarts is back within seconds.
+	// firstAway is how long an engine is left alone at first, longestAway after
+	// many times: one that restarts is back within seconds.
 	firstAway   = time.Second
 	longestAway = 8 * time.Second
+	// fullAway is the same for one that refused for want of room: streams end every
+	// few hundred milliseconds.
+	fullAway = 300 * time.Millisecond
+	// failWeight is the weight of a new outcome in the share of failures, failLimit the
+	// share from which an engine is left alone: two failures in a row, or four of ten.
+	failWeight = 0.25
+	failLimit  = 0.4
 )
 
 // Fleet is the engines of one service and the streams on them.
@@ -258,22 +269,50 @@
 	}
 }
 
-// Failed notes that an engine didn't do what it was asked (rule 6).
-func (f *Fleet) Failed(now time.Time, id hingeids.ServerID) {
+// Outcome is how an engine did what it was asked.
+type Outcome uint8
+
+// Worked is what was asked; Failed is none or a broken answer; Full is a refusal
+// for want of room; Unreached is no connection, or another server at the address.
+const (
+	Worked Outcome = iota
+	Failed
+	Full
+	Unreached
+)
+
+// Note takes how an engine did (rule 6).
+func (f *Fleet) Note(now time.Time, id hingeids.ServerID, o Outcome) {
 	e := f.engines[id]
-	if e == nil || now.Before(e.awayTill) {
-		// Streams that fail together are one failure of their engine.
+	if e == nil {
 		return
 	}
-	e.awayTill = now.Add(min(firstAway<<min(e.failures, 4), longestAway))
-	e.failures++
+	switch o {
+	case Worked:
+		e.failing -= failWeight * e.failing
+		if now.After(e.awayTill) {
+			e.leaves = 0
+		}
+	case Full:
+		e.awayTill = later(e.awayTill, now.Add(fullAway))
+	case Unreached:
+		e.leave(now)
+	case Failed:
+		e.failing += failWeight * (1 - e.failing)
+		if e.failing > failLimit {
+			e.leave(now)
+		}
+	}
 }
 
-// Worked notes that an engine did what it was asked.
-func (f *Fleet) Worked(id hingeids.ServerID) {
-	if e := f.engines[id]; e != nil {
-		e.failures = 0
+func (e *engine) leave(now time.Time) {
+	if now.Before(e.awayTill) {
+		// What fails together is one failure of the engine.
+		return
 	}
+	e.awayTill = now.Add(min(firstAway<<min(e.leaves, 4), longestAway))
+	e.leaves++
+	e.failing = 0
 }
 
 // Streams counts the streams believed to be in flight, Waiting the wants.
--- a/internal/decide/hingefleet/room.go
+++ b/internal/decide/hingefleet/room.go
@@ -121,6 +121,8 @@
 
 // prefillFor gives the prefill engine that is free first, one of the zone of
 // the decode engine if they are alike: a transfer between zones takes twice as long.
+// None is given if all have work for a while: what waits there holds decode
+// memory for nothing, and can't be overtaken any more by what is more urgent.
 func (f *Fleet) prefillFor(now time.Time, w *Want, zone hingeids.Zone) *engine {
 	var best *engine
 	var bestAt time.Time
@@ -129,6 +131,9 @@
 			continue
 		}
 		at := later(now, e.freeAt)
+		if at.Sub(now) > mostBacklog {
+			continue
+		}
 		if e.Zone != zone {
 			at = at.Add(otherZone)
 		}
@@ -143,6 +148,10 @@
 // prefill, which costs callers nothing that they would notice.
 const otherZone = 10 * time.Millisecond
 
+// mostBacklog is the work that a prefill engine may have ahead: two prompts of the
+// mean size or one of the longest, so that it never idles while a decision is on its way.
+const mostBacklog = 200 * time.Millisecond
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/observe/hingeevents/decisions.go
+++ b/internal/observe/hingeevents/decisions.go
@@ -10,6 +10,7 @@
 	BoundSlotRefused   Number = 705
 	RoleShiftDecided   Number = 706
 	RetryBudgetUsedUp  Number = 707
+	PlacerSilent       Number = 708
 )
 
 var decisionEntries = []Entry{
@@ -65,4 +66,11 @@
 		Text:     "A request that failed was not repeated, as the budget of repeats was used up.",
 		Do:       "Look which engine fails.",
 	},
+	{
+		Number:   PlacerSilent,
+		Name:     "placerSilent",
+		Severity: Warning,
+		Text:     "The control host that places streams didn't answer; others are asked, and the own host places if none does.",
+		Do:       "If it lasts, look whether that host runs and can be reached.",
+	},
 }
--- a/internal/observe/hingeevents/orders.go
+++ b/internal/observe/hingeevents/orders.go
@@ -6,7 +6,6 @@
 	OrderUnanswered Number = 601
 	OrderRefused    Number = 602
 	IssuerReplaced  Number = 603
-	RoleShifted     Number = 604
 )
 
 var orderEntries = []Entry{
@@ -35,10 +34,4 @@
 		Severity: Warning,
 		Text:     "An engine has seen a higher fencing number: another host issues orders now.",
 	},
-	{
-		Number:   RoleShifted,
-		Name:     "roleShifted",
-		Severity: Info,
-		Text:     "An engine is to change its role, since the other role would be short at the next burst; detail has the new role.",
-	},
 }
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -156,10 +156,10 @@
 	for {
 		err = p.decode(ctx, r, placed, ahead, cache)
 		if err == nil {
-			p.owner.Tell(hingeplacer.Fault{
+			p.owner.Tell(hingeplacer.Note{
 				Service: r.service,
 				Server:  placed.Decode,
-				Worked:  true,
+				Outcome: hingefleet.Worked,
 			})
 			return nil
 		}
@@ -266,12 +266,24 @@
 	if err.Code == hingeverdict.CodeDeadline {
 		return
 	}
-	p.owner.Tell(hingeplacer.Fault{
+	p.owner.Tell(hingeplacer.Note{
 		Service: r.service,
 		Server:  id,
+		Outcome: outcomeAt(err),
 	})
 }
 
+// outcomeAt is what a failure says of the engine.
+func outcomeAt(err *hingeverdict.Error) hingefleet.Outcome {
+	switch err.Code {
+	case hingeverdict.CodeNoServer, hingeverdict.CodeServerGone:
+		return hingefleet.Unreached
+	case hingeverdict.CodeServerRefused:
+		return hingefleet.Full
+	}
+	return hingefleet.Failed
+}
+
 // prefill has an engine work the prompt.
 func (p *Proxy) prefill(ctx context.Context, r *run, id hingeids.ServerID) (Cache, *hingeverdict.Error) {
 	address, ok := p.world.Address(id)
@@ -287,10 +299,13 @@
 		After:   r.relay.last,
 	}))
 	if err != nil {
-		return Cache{}, notRun(hingeverdict.CodeServerFailed, err)
+		return Cache{}, notRun(verdictOf(err).Code, err)
 	}
 	defer x.Close()
 	reply := p.dialect.Reply(x.Answer)
+	if reply.Gone {
+		return Cache{}, notRun(hingeverdict.CodeServerGone, eris.New("another server has the address"))
+	}
 	if x.Answer.StatusCode != http.StatusOK || reply.ID != "" && reply.ID != r.asked.ID {
 		return Cache{}, notRun(hingeverdict.CodeServerRefused,
 			eris.Errorf("prefill was answered with status %d", x.Answer.StatusCode))
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	// planFor is the burst that roles are planned for: twice and a half the mean
-	// demand of some seconds. Roles take longer to change than a burst lasts, so it
-	// is the next burst that a change is for.
-	planFor = 2.5
+	// leastDemand is the share of all engines that must be asked for before roles are
+	// planned: below it the mix of a few requests says little.
+	leastDemand = 0.2
+	// prefillSlack is how much more prefill is planned than is asked for. Prompts come
+	// in clumps and a first token waits for all those before it: at nine tenths of
+	// its rate an engine keeps them waiting for many prefills, at seven tenths for one or two.
+	prefillSlack = 1.4
 	// rolesEvery is how often roles are thought of.
 	rolesEvery = 500 * time.Millisecond
 	// holdFor is how long the same change must be worth it, rest the pause between two:
@@ -165,8 +168,25 @@
 	hingefleet.Decode:  hingeannounce.Decode,
 }
 
-// shift decides for one service. Roles are planned for a burst; at the demand of the
-// moment both would look well, and the next burst would find the wrong one short.
+// plan scales the demand up to where it would just fill all engines. Roles are
+// planned for that burst: at the demand of the moment both roles may look well, and the next
+// burst would find the wrong one short, sooner than a role can change. Only
+// the proportion of the demands counts, so that a burst under way doesn't look like one to
+// come on top of it.
+func plan(engines int, d hingefleet.Demand) (hingeshift.Demand, bool) {
+	d.Prefill *= prefillSlack
+	asked := d.Prefill + d.Decode
+	if asked < leastDemand*float64(engines) {
+		return hingeshift.Demand{}, false
+	}
+	scale := float64(engines) / asked
+	return hingeshift.Demand{
+		Prefill: scale * d.Prefill,
+		Decode:  scale * d.Decode,
+	}, true
+}
+
+// shift decides for one service.
 func (r *roles) shift(
 	now time.Time, s hingeids.Service, e *hingeroutes.Engine, list []hingefleet.Engine, d hingefleet.Demand,
 ) {
@@ -181,9 +201,9 @@
 		r.shifters[s] = shifter
 	}
 	engines, prefills := r.standing(list)
-	planned := hingeshift.Demand{
-		Prefill: planFor * d.Prefill,
-		Decode:  planFor * d.Decode,
+	planned, enough := plan(len(engines), d)
+	if !enough {
+		return
 	}
 	cost := e.RoleTime
 	if float64(prefills-1) >= planned.Prefill {
@@ -202,7 +222,7 @@
 		role:  role,
 		since: now,
 	}
-	r.control.options.Recorder.Record(time.Now(), hingeevents.RoleShifted, hingeevents.Fields{
+	r.control.options.Recorder.Record(time.Now(), hingeevents.RoleShiftDecided, hingeevents.Fields{
 		Server: shift.Server,
 		Fence:  r.term,
 		Detail: string(shift.To),
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -111,7 +111,7 @@
 		Clock: hingeclock.Boot,
 		Took:  f.took,
 	}, f.link, o.Seeds)
-	f.owner = hingeplacer.NewOwner(o.Life.Host, f.link, f, hingeclock.Boot)
+	f.owner = hingeplacer.NewOwner(o.Life.Host, f.link, f, hingeclock.Boot, o.Recorder)
 	f.proxy = hingeproxy.New(hingeproxy.Settings{
 		Self:     o.Life,
 		Zone:     o.Zone,
