--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -87,6 +87,7 @@
 		dirty:    make(chan struct{}, 1),
 		streams:  make(map[hingefleet.StreamID]*Stream),
 		silent:   make(map[hingeids.HostID]time.Time),
+		missed:   make(map[hingeids.HostID]int),
 		// A new placer must hear of all streams; an old number would be passed over.
 		sequence: uint64(clock().UnixNano()),
 	}
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -16,7 +16,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
@@ -183,6 +185,7 @@
 
 // Serve answers a request.
 func (p *Proxy) Serve(ctx context.Context, r *hingewire.Request, w *hingewire.Writer) {
+	defer p.survive(r)
 	asked := p.dialect.Asked(r.Header)
 	table := p.world.Table()
 	if table == nil {
@@ -213,6 +216,19 @@
 	p.plain(inner, j)
 }
 
+// survive gives up the one request on which the program failed. Without it a
+// fault of ours that one request brings out would end all others of the process with it.
+func (p *Proxy) survive(r *hingewire.Request) {
+	failure := recover()
+	if failure == nil {
+		return
+	}
+	p.settings.Recorder.Record(p.settings.Clock(), hingeevents.HandlerPanicked, hingeevents.Fields{
+		Asked:  string(p.dialect.Asked(r.Header).ID),
+		Detail: fmt.Sprintf("%v\n%s", failure, debug.Stack()),
+	})
+}
+
 // notReadyRetry is when a host that starts is likely to know its configuration.
 const notReadyRetry = 500 * time.Millisecond
 
