--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -131,11 +133,26 @@
 		ID:         w.ID,
 		Owner:      w.Owner,
 		Refused:    true,
-		RetryAfter: min(max(wait, shortestRetry), longestRetry),
+		RetryAfter: r.retryAfter(w.ID, wait),
 		Waited:     now.Sub(w.Arrived),
 	}, true
 }
 
+// retryAfter is when a refused caller is best back: once the work ahead has
+// drained or, while as much arrives as drains, once the burst is likely over.
+// Callers are spread over the time around it, or they would come back as the next burst.
+func (r rates) retryAfter(id StreamID, wait time.Duration) time.Duration {
+	after := min(max(wait, shortestRetry), longestRetry)
+	if !r.spare() {
+		after = longestRetry
+	}
+	lot := float64(xxhash.Sum64String(string(id))%1000) / 1000
+	return time.Duration(float64(after) * (1 - retrySpread*lot))
+}
+
+// retrySpread is the share of the time told by which callers are spread.
+const retrySpread = 0.3
+
 // rates are streams a second: that end, by what is known of those in flight, and that arrive.
 type rates struct {
 	drain   float64
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -20,8 +20,8 @@
 	leastDemand = 0.2
 	// prefillSlack is how much more prefill is planned than is asked for. Prompts come
 	// in clumps and a first token waits for all those before it: at nine tenths of
-	// its rate an engine keeps them waiting for many prefills, at seven tenths for one or two.
-	prefillSlack = 1.4
+	// its rate an engine keeps them waiting for many prefills, at three quarters for one or two.
+	prefillSlack = 1.3
 	// rolesEvery is how often roles are thought of.
 	rolesEvery = 500 * time.Millisecond
 	// holdFor is how long the same change must be worth it, rest the pause between two:
