Test the front door, the balance and the parsers of the platform's path

The balance never took a replica back that had been dark: an unused one was expected to take 25 ms where the others were known to take 15 (test red before: 0 of 750 requests after it was back). A head over its limit that came in one piece was taken (test red before).

--- a/internal/decide/hingebalance/balance.go
+++ b/internal/decide/hingebalance/balance.go
@@ -66,7 +66,7 @@
 	longestAway = 6 * time.Second
 	// fullAway is the same after a refusal for want of room: its queue is some requests long.
 	fullAway = 60 * time.Millisecond
-	// staleAfter is when what was learned counts for less (rule 5).
+	// staleAfter is how long a replica may go unused before it gets a request (rule 5).
 	staleAfter = 3 * time.Second
 	// unreachedLimit is how many connections in a row must fail: single packets are lost too.
 	unreachedLimit = 2
@@ -74,8 +74,10 @@
 
 // state is what was learned of a replica.
 type state struct {
-	open      int
-	took      time.Duration
+	open int
+	took time.Duration
+	// measured says that an answer has come; until then took is a guess.
+	measured  bool
 	failures  float64
 	unreached int
 	away      time.Duration
@@ -149,11 +151,10 @@
 
 // cost is rule 1, with rules 2 and 5.
 func (b *Balance) cost(now time.Time, r Replica, s *state) time.Duration {
-	took := s.took
-	if now.Sub(s.usedAt) > staleAfter {
-		took = min(took, startTook)
+	if now.Sub(s.usedAt) > staleAfter && s.open == 0 {
+		return 0
 	}
-	cost := took * time.Duration(s.open+1)
+	cost := s.took * time.Duration(s.open+1)
 	if r.Zone != b.zone {
 		cost += nearBy
 	}
@@ -185,6 +186,10 @@
 	s.open = max(s.open-1, 0)
 	switch o {
 	case Answered:
+		if !s.measured {
+			s.took = took
+			s.measured = true
+		}
 		s.took += time.Duration(tookWeight * float64(took-s.took))
 		s.failures -= failWeight * s.failures
 		s.unreached = 0
--- /dev/null
+++ b/internal/decide/hingebalance/balance_test.go
@@ -0,0 +1,200 @@
+package hingebalance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// replicas gives three replicas, one in each zone.
+func replicas() []Replica {
+	var out []Replica
+	for i, z := range []hingeids.Zone{"cancale", "roscoff", "quiberon"} {
+		out = append(out, Replica{
+			Server: hingeids.ServerID(fmt.Sprint("app-", i+1)),
+			Zone:   z,
+		})
+	}
+	return out
+}
+
+// pattern is what the replicas do with a request.
+type pattern func(id hingeids.ServerID, random *rand.Rand) (Outcome, time.Duration)
+
+// play sends a request each 20 ms for a while, as one host of six does at its
+// burst, and counts where requests went and how many were answered within 100 ms.
+func play(p pattern, lasts time.Duration) (shares map[hingeids.ServerID]float64, inTime float64) {
+	b := New("cancale", 1)
+	random := rand.New(rand.NewPCG(2, 3))
+	counts := make(map[hingeids.ServerID]int)
+	asked, good := 0, 0
+	type ending struct {
+		at   time.Time
+		id   hingeids.ServerID
+		o    Outcome
+		took time.Duration
+	}
+	var open []ending
+	for now := start; now.Sub(start) < lasts; now = now.Add(20 * time.Millisecond) {
+		kept := open[:0]
+		for _, e := range open {
+			if e.at.After(now) {
+				kept = append(kept, e)
+				continue
+			}
+			b.Done(now, e.id, e.o, e.took)
+		}
+		open = kept
+		r, ok := b.Choose(now, replicas(), nil)
+		if !ok {
+			continue
+		}
+		asked++
+		counts[r.Server]++
+		o, took := p(r.Server, random)
+		if o == Answered && took <= 100*time.Millisecond {
+			good++
+		}
+		open = append(open, ending{
+			at:   now.Add(took),
+			id:   r.Server,
+			o:    o,
+			took: took,
+		})
+	}
+	shares = make(map[hingeids.ServerID]float64)
+	for id, n := range counts {
+		shares[id] = float64(n) / float64(asked)
+	}
+	return shares, float64(good) / float64(asked)
+}
+
+func well(hingeids.ServerID, *rand.Rand) (Outcome, time.Duration) {
+	return Answered, 15 * time.Millisecond
+}
+
+// All are well: the replica of the own zone is nearest and has room for the host's requests.
+func TestOwnZoneIsPreferred(t *testing.T) {
+	shares, inTime := play(well, 10*time.Second)
+	if shares["app-1"] < 0.9 || inTime < 0.99 {
+		t.Fatalf("shares %v, in time %.2f", shares, inTime)
+	}
+}
+
+// The replica of the own zone turns ten times slower. Quay queries that go there on
+// are late; it must lose them within some answers.
+func TestSlowReplicaLosesItsRequests(t *testing.T) {
+	shares, inTime := play(func(id hingeids.ServerID, r *rand.Rand) (Outcome, time.Duration) {
+		if id == "app-1" {
+			return Answered, 150 * time.Millisecond
+		}
+		return well(id, r)
+	}, 10*time.Second)
+	if shares["app-1"] > 0.1 || inTime < 0.9 {
+		t.Fatalf("shares %v, in time %.2f", shares, inTime)
+	}
+}
+
+// The replica of the own zone fails half of its requests while its heartbeats say that
+// it is well.
+func TestFailingReplicaIsLeftAlone(t *testing.T) {
+	shares, _ := play(func(id hingeids.ServerID, r *rand.Rand) (Outcome, time.Duration) {
+		if id == "app-1" && r.Float64() < 0.5 {
+			return Failed, 5 * time.Millisecond
+		}
+		return well(id, r)
+	}, 20*time.Second)
+	if shares["app-1"] > 0.25 {
+		t.Fatalf("shares %v", shares)
+	}
+}
+
+// Each replica loses one answer in thirty. None may be left alone for it: the others
+// would get its load, and lose theirs too.
+func TestSingleFailuresMoveLittle(t *testing.T) {
+	shares, _ := play(func(id hingeids.ServerID, r *rand.Rand) (Outcome, time.Duration) {
+		if r.Float64() < 0.03 {
+			return Failed, 15 * time.Millisecond
+		}
+		return well(id, r)
+	}, 20*time.Second)
+	if shares["app-1"] < 0.8 {
+		t.Fatalf("shares %v", shares)
+	}
+}
+
+// The replica of the own zone is dark: each try there costs its callers the time of two
+// dials. It gets a try now and then, and is used again soon after it is back.
+func TestDarkReplicaIsTriedSeldomAndTakenBack(t *testing.T) {
+	b := New("cancale", 1)
+	dark := 0
+	now := start
+	for ; now.Sub(start) < 10*time.Second; now = now.Add(20 * time.Millisecond) {
+		r, _ := b.Choose(now, replicas(), nil)
+		if r.Server == "app-1" {
+			dark++
+			b.Done(now, r.Server, Unreached, 200*time.Millisecond)
+			continue
+		}
+		b.Done(now, r.Server, Answered, 15*time.Millisecond)
+	}
+	if dark > 12 {
+		t.Errorf("a dark replica got %d of 500 requests", dark)
+	}
+	back := 0
+	for end := now.Add(15 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		r, _ := b.Choose(now, replicas(), nil)
+		b.Done(now, r.Server, Answered, 15*time.Millisecond)
+		if r.Server == "app-1" {
+			back++
+		}
+	}
+	if back < 200 {
+		t.Errorf("a replica that is back got %d of 750 requests", back)
+	}
+}
+
+// Everything fails. Whoever asks is still sent somewhere: a refusal would be certain
+// to help nobody.
+func TestSomebodyIsAlwaysTried(t *testing.T) {
+	b := New("cancale", 1)
+	now := start
+	for range 50 {
+		r, ok := b.Choose(now, replicas(), nil)
+		if !ok {
+			t.Fatal("nobody was tried")
+		}
+		b.Done(now, r.Server, Failed, time.Millisecond)
+		now = now.Add(10 * time.Millisecond)
+	}
+	if _, ok := b.Choose(now, nil, nil); ok {
+		t.Fatal("a replica was chosen of none")
+	}
+}
+
+// Another server has the address now. It refuses what is meant for the old one, so
+// nothing more is sent there.
+func TestReplacedReplicaGetsNothing(t *testing.T) {
+	b := New("cancale", 1)
+	b.Choose(start, replicas(), nil)
+	b.Done(start, "app-1", Gone, time.Millisecond)
+	got := make(map[hingeids.ServerID]bool)
+	for range 50 {
+		r, _ := b.Choose(start, replicas(), nil)
+		got[r.Server] = true
+	}
+	want := map[hingeids.ServerID]bool{
+		"app-2": true,
+		"app-3": true,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- /dev/null
+++ b/internal/path/hingeproxy/standin_test.go
@@ -0,0 +1,418 @@
+package hingeproxy
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/link/hingefake"
+	"github.com/swifthinge/swifthinge/internal/path/hingewire"
+)
+
+// testDialect is a dialect with names of its own.
+type testDialect struct{}
+
+func (testDialect) Asked(h http.Header) Asked {
+	n, _ := strconv.Atoi(h.Get("Prompt"))
+	ms, _ := strconv.Atoi(h.Get("Left"))
+	return Asked{
+		ID:      RequestID(h.Get("Id")),
+		Left:    time.Duration(ms) * time.Millisecond,
+		Prompt:  hingeids.Tokens(n),
+		Longest: 100,
+		Hint:    50,
+		After:   h.Get("After"),
+	}
+}
+
+func (testDialect) Outgoing(h http.Header, s Sending) http.Header {
+	out := h.Clone()
+	out.Set("Server", string(s.Server))
+	out.Set("Left", fmt.Sprint(s.Left.Milliseconds()))
+	out.Del("After")
+	if s.After != "" {
+		out.Set("After", s.After)
+	}
+	if s.Prefill {
+		out.Set("Prefill", "1")
+	}
+	if s.From.Handle != "" {
+		out.Set("From", s.From.Handle)
+	}
+	return out
+}
+
+func (testDialect) Reply(r *http.Response) Reply {
+	return Reply{
+		ID:      RequestID(r.Header.Get("Id")),
+		NotRun:  r.Header.Get("Not-Run") != "",
+		Gone:    r.StatusCode == http.StatusMisdirectedRequest,
+		Vouched: r.Header.Get("Vouched") != "",
+	}
+}
+
+func (testDialect) Cache(address string, body []byte) (Cache, error) {
+	var a struct {
+		Handle string `json:"handle"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return Cache{}, eris.Wrap(err, "cache")
+	}
+	return Cache{
+		Address: address,
+		Handle:  a.Handle,
+	}, nil
+}
+
+func (testDialect) Free(c Cache) (method, path string) {
+	return http.MethodDelete, "/cache/" + c.Handle
+}
+
+func (testDialect) Own(id RequestID) http.Header {
+	return http.Header{
+		"Id": {string(id)},
+	}
+}
+
+// behaviour is how a stand-in answers the n-th request that it runs, from 1. It may write
+// to the connection itself and give true.
+type behaviour func(n int, q *http.Request, c net.Conn) bool
+
+// standin is a backend server that counts what it was asked.
+type standin struct {
+	id       hingeids.ServerID
+	kind     hingefleet.Role
+	listener net.Listener
+	behave   behaviour
+
+	mu    sync.Mutex
+	runs  []string
+	freed []string
+}
+
+func newStandin(t *testing.T, id hingeids.ServerID, kind hingefleet.Role, b behaviour) *standin {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standin{
+		id:       id,
+		kind:     kind,
+		listener: l,
+		behave:   b,
+	}
+	t.Cleanup(func() {
+		_ = l.Close()
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *standin) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+	}()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		if q.Method == http.MethodDelete {
+			s.mu.Lock()
+			s.freed = append(s.freed, strings.TrimPrefix(q.URL.Path, "/cache/"))
+			s.mu.Unlock()
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		s.mu.Lock()
+		s.runs = append(s.runs, q.Header.Get("Id"))
+		n := len(s.runs)
+		s.mu.Unlock()
+		if s.behave != nil && s.behave(n, q, c) {
+			return
+		}
+		if q.Header.Get("Prefill") != "" {
+			reply(c, q, http.StatusOK, `{"handle":"h`+fmt.Sprint(n)+`"}`)
+			continue
+		}
+		if s.kind == hingefleet.Decode {
+			beginStream(c, q)
+			events(c, from(q), 5, true)
+			return
+		}
+		reply(c, q, http.StatusOK, "lot 7 is alive")
+	}
+}
+
+// ran counts the requests that the stand-in ran, Freed the caches given back.
+func (s *standin) ran() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs)
+}
+
+func (s *standin) freedCaches() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.freed...)
+}
+
+func reply(c net.Conn, q *http.Request, status int, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nId: %s\r\nVouched: 1\r\nContent-Length: %d\r\n\r\n%s",
+		status, q.Header.Get("Id"), len(body), body)
+}
+
+func refuse(c net.Conn, status int) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status)
+}
+
+func beginStream(c net.Conn, q *http.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nVouched: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		q.Header.Get("Id"))
+}
+
+// from is the first event that a request wants.
+func from(q *http.Request) int {
+	n, _ := strconv.Atoi(q.Header.Get("After"))
+	return n + 1
+}
+
+// events writes events up to one, and the end if it is whole.
+func events(c net.Conn, first, last int, whole bool) {
+	for i := first; i <= last; i++ {
+		e := fmt.Sprintf("id: %d\ndata: token %d\n\n", i, i)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+	}
+	if whole {
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+}
+
+// world is a fleet of stand-ins.
+type world struct {
+	table    *hingeroutes.Table
+	standins []*standin
+}
+
+func (w *world) Table() *hingeroutes.Table { return w.table }
+
+func (w *world) Entries() int { return 1 }
+
+func (w *world) Placers() []hingeids.HostID { return nil }
+
+func (w *world) Replicas(s hingeids.Service) []hingebalance.Replica {
+	var out []hingebalance.Replica
+	for _, x := range w.standins {
+		if x.kind == 0 && s == "app" {
+			out = append(out, hingebalance.Replica{
+				Server:  x.id,
+				Address: x.listener.Addr().String(),
+			})
+		}
+	}
+	return out
+}
+
+func (w *world) Address(id hingeids.ServerID) (string, bool) {
+	for _, x := range w.standins {
+		if x.id == id {
+			return x.listener.Addr().String(), true
+		}
+	}
+	return "", false
+}
+
+func (w *world) Engines() map[hingeids.Service][]hingefleet.Engine {
+	var out []hingefleet.Engine
+	for _, x := range w.standins {
+		if x.kind != 0 {
+			out = append(out, hingefleet.Engine{
+				Server: x.id,
+				Role:   x.kind,
+				Slots:  8,
+				Memory: 100000,
+			})
+		}
+	}
+	return map[hingeids.Service][]hingefleet.Engine{
+		"model": out,
+	}
+}
+
+// routes are a status query that runs at most once, a lookup that may be repeated, and two kinds of stream.
+func routes() *hingeroutes.Table {
+	route := func(name, prefix string, kind hingeroutes.Kind, service hingeids.Service) hingeroutes.Route {
+		return hingeroutes.Route{
+			Name:      name,
+			Host:      "quay.example",
+			Prefix:    prefix,
+			Kind:      kind,
+			Timeout:   9 * time.Second,
+			Target:    time.Second,
+			Patience:  2 * time.Second,
+			Attempts:  2,
+			Resumable: name == "dossier",
+			Shares: []hingeroutes.Share{
+				{
+					Service: service,
+					Weight:  1,
+				},
+			},
+		}
+	}
+	t := &hingeroutes.Table{
+		Version: 1,
+		Routes: []hingeroutes.Route{
+			route("status", "/status/", hingeroutes.Once, "app"),
+			route("lookup", "/lookup/", hingeroutes.Repeatable, "app"),
+			route("dossier", "/dossier/", hingeroutes.Stream, "model"),
+			route("health", "/health/", hingeroutes.Stream, "model"),
+		},
+		Services: map[hingeids.Service]hingeroutes.Service{
+			"app": {},
+			"model": {
+				Engine: &hingeroutes.Engine{
+					Slots:       8,
+					Memory:      100000,
+					EventTokens: 10,
+					HandleTime:  500 * time.Millisecond,
+				},
+			},
+		},
+	}
+	t.Index()
+	return t
+}
+
+// door is a proxy with its listener.
+type door struct {
+	t       *testing.T
+	address string
+	proxy   *Proxy
+	// asked counts the requests, for their ids; left is how long callers wait.
+	asked int
+	left  time.Duration
+}
+
+func newDoor(t *testing.T, standins ...*standin) *door {
+	t.Helper()
+	w := &world{
+		table:    routes(),
+		standins: standins,
+	}
+	network := hingefake.NewNetwork()
+	owner := hingeplacer.NewOwner("entry-1", network.Link("entry-1"), w, time.Now, nil)
+	p := New(Settings{
+		Self: hingeids.Life{
+			Host:        "entry-1",
+			Incarnation: 1,
+		},
+		Budget: Budget{
+			PerRequest: 0.2,
+			Burst:      20,
+		},
+		Clock: time.Now,
+	}, testDialect{}, w, owner)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := hingewire.NewServer(p, func() hingewire.Limits {
+		return hingewire.Limits{
+			HeaderBytes: 8192,
+			BodyBytes:   1 << 20,
+			HeaderTime:  time.Second,
+			IdleTime:    5 * time.Second,
+		}
+	}, time.Now)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		_ = owner.Run(ctx)
+	}()
+	go func() {
+		_ = s.Run(ctx, l)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-s.Done()
+		<-owner.Done()
+	})
+	return &door{
+		t:       t,
+		address: l.Addr().String(),
+		proxy:   p,
+		left:    2500 * time.Millisecond,
+	}
+}
+
+// got is what a caller got.
+type got struct {
+	Status int
+	Body   string
+	// Whole says that the answer ended as its framing says.
+	Whole      bool
+	RetryAfter bool
+}
+
+// ask sends one request and reads its answer.
+func (d *door) ask(target string) got {
+	d.t.Helper()
+	d.asked++
+	n := d.asked
+	q, err := http.NewRequestWithContext(d.t.Context(), http.MethodPost, "http://"+d.address+target, strings.NewReader("body"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	q.Host = "quay.example"
+	q.Header.Set("Id", fmt.Sprint("request-", n))
+	q.Header.Set("Left", fmt.Sprint(d.left.Milliseconds()))
+	if strings.HasPrefix(target, "/dossier") || strings.HasPrefix(target, "/health") {
+		q.Header.Set("Prompt", "1000")
+	}
+	c := &http.Client{
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+		},
+	}
+	a, err := c.Do(q)
+	if err != nil {
+		return got{}
+	}
+	defer func() {
+		_ = a.Body.Close()
+	}()
+	b, err := io.ReadAll(a.Body)
+	return got{
+		Status:     a.StatusCode,
+		Body:       string(b),
+		Whole:      err == nil,
+		RetryAfter: a.Header.Get("Retry-After") != "",
+	}
+}
--- a/internal/path/hingewire/server.go
+++ b/internal/path/hingewire/server.go
@@ -312,10 +312,11 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTime))
 	for {
 		b, _ := c.reader.Peek(c.reader.Buffered())
-		if at := bytes.Index(b, headEnd); at >= 0 {
+		at := bytes.Index(b, headEnd)
+		if at >= 0 && at+len(headEnd) <= limits.HeaderBytes {
 			return b[:at+len(headEnd)], arrived, nil
 		}
-		if len(b) >= limits.HeaderBytes {
+		if at >= 0 || len(b) >= limits.HeaderBytes {
 			return nil, arrived, &refusal{
 				status: http.StatusRequestHeaderFieldsTooLarge,
 				cause:  eris.Errorf("the request's head has more than %d bytes", limits.HeaderBytes),
