--- /dev/null
+++ b/internal/membership/hingefollow/follow_test.go
@@ -0,0 +1,250 @@
+package hingefollow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
+	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/link/hingefake"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
+)
+
+// origin is what a control host of the test knows of the group.
+type origin struct {
+	documents hingeboard.Cell[hingeversion.Document]
+	standing  Standing
+	// alone says that no leader can be asked.
+	alone bool
+}
+
+func (o *origin) Documents() *hingeboard.Cell[hingeversion.Document] { return &o.documents }
+
+func (o *origin) Standing() Standing { return o.standing }
+
+func (o *origin) Read(context.Context) error {
+	if o.alone {
+		return eris.New("no leader")
+	}
+	return nil
+}
+
+func (o *origin) accept(v hingeversion.Version) {
+	o.documents.Store(&hingeversion.Document{
+		Version: v,
+		Body:    []byte{byte(v)},
+	})
+}
+
+// control is a control host.
+type control struct {
+	*origin
+	source *Source
+}
+
+// fleet is two control hosts and what follows them, under a fake clock.
+type fleet struct {
+	t       *testing.T
+	network *hingefake.Network
+	ctx     context.Context
+	stop    context.CancelFunc
+	all     map[hingeids.HostID]*control
+	running []*Follower
+}
+
+func inBubble(t *testing.T, f func(t *testing.T, x *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		x := &fleet{
+			t:       t,
+			network: hingefake.NewNetwork(),
+			ctx:     ctx,
+			stop:    stop,
+			all:     make(map[hingeids.HostID]*control),
+		}
+		for _, h := range []hingeids.HostID{"control-1", "control-2"} {
+			x.start(h, 1)
+		}
+		f(t, x)
+		stop()
+		for _, r := range x.running {
+			<-r.Done()
+		}
+	})
+}
+
+// start begins a life of a control host.
+func (x *fleet) start(h hingeids.HostID, life hingeids.Incarnation) *control {
+	c := &control{
+		origin: &origin{
+			standing: Standing{
+				Leader:  "control-1",
+				Term:    1,
+				Members: []hingeids.HostID{"control-1", "control-2"},
+				InTouch: true,
+			},
+		},
+	}
+	c.documents.Store(&hingeversion.Document{})
+	c.source = NewSource(hingeids.Life{
+		Host:        h,
+		Incarnation: life,
+	}, c.origin, time.Now, x.network.Link(h))
+	x.all[h] = c
+	return c
+}
+
+// follow starts a follower that knows one seed.
+func (x *fleet) follow(self hingeids.HostID, seed hingeids.HostID) (*Follower, *hingeannounce.Directory) {
+	d := hingeannounce.NewDirectory(self)
+	f := New(Settings{
+		Self:  self,
+		Entry: true,
+		Clock: time.Now,
+		Took: func(now time.Time, records []hingeannounce.Record) {
+			for _, r := range records {
+				d.Merge(now, r)
+			}
+		},
+	}, x.network.Link(self), []hingeids.HostID{seed})
+	x.running = append(x.running, f)
+	go func() {
+		_ = f.Run(x.ctx)
+	}()
+	return f, d
+}
+
+func announcement(id hingeids.ServerID) hingeannounce.Announcement {
+	return hingeannounce.Announcement{
+		Server:      id,
+		Incarnation: 1,
+		Sequence:    1,
+		Address:     "10.0.0.1:80",
+	}
+}
+
+// A follower that knows one seed learns the other control host from it, and hears what
+// only that one knows.
+func TestFollowerFindsAllControlHosts(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		f, d := x.follow("entry-1", "control-1")
+		x.all["control-1"].accept(1)
+		x.all["control-2"].source.Hear(time.Now(), announcement("engine"))
+		time.Sleep(3 * time.Second)
+		if got := len(d.Since(0)); got != 1 {
+			t.Fatalf("%d servers are known", got)
+		}
+		s := f.State().Load()
+		if !s.Ready || s.Document.Version != 1 || s.Entries != 1 {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+// A change is accepted. It is in force at a follower within milliseconds, not at the
+// end of the hold time.
+func TestChangeComesAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		f, _ := x.follow("entry-1", "control-1")
+		x.all["control-1"].accept(1)
+		time.Sleep(5 * time.Second)
+		x.all["control-1"].accept(2)
+		time.Sleep(20 * time.Millisecond)
+		if v := f.State().Load().Document.Version; v != 2 {
+			t.Fatalf("version %d is in force", v)
+		}
+	})
+}
+
+// A control host is cut off from the group and has an old configuration. A process that
+// starts and asks it first must not serve by that.
+func TestFollowerIsNotReadyByAnOldWord(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		cutOff := x.all["control-1"]
+		cutOff.alone = true
+		cutOff.standing = Standing{}
+		cutOff.accept(1)
+		f, _ := x.follow("entry-1", "control-1")
+		time.Sleep(3 * time.Second)
+		if s := f.State().Load(); s.Ready || s.Document.Version != 1 {
+			t.Fatalf("%+v", s)
+		}
+		x.all["control-2"].accept(5)
+		f.Reseed([]hingeids.HostID{"control-2"})
+		time.Sleep(3 * time.Second)
+		if s := f.State().Load(); !s.Ready || s.Document.Version != 5 {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+// The leader dies and a host that was behind answers first. What is in force must
+// not go back.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		f, _ := x.follow("entry-1", "control-1")
+		x.all["control-1"].accept(7)
+		time.Sleep(3 * time.Second)
+		x.network.Remove("control-1")
+		x.all["control-2"].accept(6)
+		time.Sleep(10 * time.Second)
+		if v := f.State().Load().Document.Version; v != 7 {
+			t.Fatalf("version %d is in force", v)
+		}
+	})
+}
+
+// A control host restarts and has forgotten its servers. What it says of its new life's
+// changes mustn't be taken for those of the old one, or new servers would never be heard of.
+func TestRestartedControlHostIsHeardAnew(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		_, d := x.follow("entry-1", "control-1")
+		for _, id := range []hingeids.ServerID{"a", "b", "c"} {
+			x.all["control-1"].source.Hear(time.Now(), announcement(id))
+		}
+		time.Sleep(3 * time.Second)
+		next := x.start("control-1", 2)
+		next.source.Hear(time.Now(), announcement("d"))
+		time.Sleep(3 * time.Second)
+		got := make(map[hingeids.ServerID]bool)
+		for _, r := range d.Since(0) {
+			got[r.Announcement.Server] = true
+		}
+		want := map[hingeids.ServerID]bool{
+			"a": true,
+			"b": true,
+			"c": true,
+			"d": true,
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Seeds are exchanged for other hosts and the old ones are gone. They must not be
+// asked for ever.
+func TestGoneControlHostIsForgotten(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		f, _ := x.follow("entry-1", "control-1")
+		time.Sleep(3 * time.Second)
+		x.network.Remove("control-1")
+		x.all["control-2"].standing.Members = []hingeids.HostID{"control-2"}
+		x.all["control-2"].standing.Leader = "control-2"
+		f.Reseed([]hingeids.HostID{"control-2"})
+		time.Sleep(40 * time.Second)
+		var got []hingeids.HostID
+		for _, c := range f.State().Load().Control {
+			got = append(got, c.Host)
+		}
+		if diff := cmp.Diff([]hingeids.HostID{"control-2"}, got); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -144,7 +144,9 @@
 		s.mu.Unlock()
 	}
 	fresh := q.Fresh && s.readFresh(ctx)
-	if !q.Fresh {
+	// A host that waits to become ready is answered at once, unless there is nothing
+	// that it could become ready with: it would ask again without a break.
+	if !fresh || s.origin.Documents().Load().Version == 0 {
 		s.wait(ctx, q)
 	}
 	a := s.answer(q)
