--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -161,6 +161,11 @@
 			return a
 		}
 	}
+	if ctx.Err() != nil {
+		return Placement{
+			Refused: true,
+		}
+	}
 	a := o.alone.Place(ctx, o.self, w)
 	a.Alone = true
 	return a
--- /dev/null
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -0,0 +1,228 @@
+package hingeplacer
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/link/hingefake"
+)
+
+// engines are one that prefills and two that decode, each with room for two streams of the tests.
+type engines struct{}
+
+func (engines) Engines() map[hingeids.Service][]hingefleet.Engine {
+	list := []hingefleet.Engine{
+		{
+			Server: "prefill",
+			Role:   hingefleet.Prefill,
+			Slots:  8,
+			Memory: 24000,
+		},
+	}
+	for _, id := range []hingeids.ServerID{"decode-1", "decode-2"} {
+		list = append(list, hingefleet.Engine{
+			Server: id,
+			Role:   hingefleet.Decode,
+			Slots:  8,
+			Memory: 24000,
+		})
+	}
+	return map[hingeids.Service][]hingefleet.Engine{
+		"model": list,
+	}
+}
+
+// fleets is what an entry host of the test knows.
+type fleets struct {
+	engines
+	placers atomic.Pointer[[]hingeids.HostID]
+	entries int
+}
+
+func (f *fleets) Placers() []hingeids.HostID { return *f.placers.Load() }
+
+func (f *fleets) Entries() int { return f.entries }
+
+// bench is two control hosts and two entry hosts, under a fake clock.
+type bench struct {
+	network *hingefake.Network
+	leads   map[hingeids.HostID]*atomic.Bool
+	owners  []*Owner
+	known   []*fleets
+}
+
+func inBubble(t *testing.T, f func(t *testing.T, b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		b := &bench{
+			network: hingefake.NewNetwork(),
+			leads:   make(map[hingeids.HostID]*atomic.Bool),
+		}
+		var done []<-chan struct{}
+		for _, h := range []hingeids.HostID{"control-1", "control-2"} {
+			leads := &atomic.Bool{}
+			leads.Store(h == "control-1")
+			b.leads[h] = leads
+			p := New(engines{}, leads.Load, time.Now)
+			p.Handle(b.network.Link(h))
+			done = append(done, p.Done())
+			go func() {
+				_ = p.Run(ctx)
+			}()
+		}
+		for i := range 2 {
+			h := hingeids.HostID(fmt.Sprint("entry-", i+1))
+			known := &fleets{
+				entries: 2,
+			}
+			known.placers.Store(&[]hingeids.HostID{"control-1", "control-2"})
+			o := NewOwner(h, b.network.Link(h), known, time.Now, nil)
+			b.owners = append(b.owners, o)
+			b.known = append(b.known, known)
+			done = append(done, o.Done())
+			go func() {
+				_ = o.Run(ctx)
+			}()
+		}
+		time.Sleep(time.Second)
+		defer func() {
+			stop()
+			for _, d := range done {
+				<-d
+			}
+		}()
+		f(t, b)
+	})
+}
+
+func want(id string) Want {
+	return Want{
+		Service:  "model",
+		ID:       hingefleet.StreamID(id),
+		Prompt:   5000,
+		Expected: 3000,
+		Target:   900 * time.Millisecond,
+		Patience: 3 * time.Second,
+		Left:     14 * time.Second,
+	}
+}
+
+// place asks for a stream and reports it as begun.
+func (b *bench) place(t *testing.T, owner int, id string) (Placement, *Stream) {
+	t.Helper()
+	w := want(id)
+	a := b.owners[owner].Place(context.Background(), w)
+	if a.Refused || a.NotHere {
+		return a, nil
+	}
+	return a, b.owners[owner].Begin(w, a)
+}
+
+// Two entry hosts place at the same time. Each sees only its own streams; the placer sees
+// both, so that the second stream goes to the other engine and the fifth waits.
+func TestHostsDoNotPlaceOnTopOfEachOther(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		counts := make(map[hingeids.ServerID]int)
+		var streams []*Stream
+		for i := range 4 {
+			a, s := b.place(t, i%2, fmt.Sprint(i))
+			counts[a.Decode]++
+			streams = append(streams, s)
+			time.Sleep(100 * time.Millisecond)
+		}
+		even := map[hingeids.ServerID]int{
+			"decode-1": 2,
+			"decode-2": 2,
+		}
+		if diff := cmp.Diff(even, counts); diff != "" {
+			t.Fatal(diff)
+		}
+		// What came in the last second would say that more comes than ends.
+		time.Sleep(1100 * time.Millisecond)
+		began := time.Now()
+		time.AfterFunc(400*time.Millisecond, streams[0].End)
+		a, _ := b.place(t, 1, "fifth")
+		if waited := time.Since(began); a.Refused || waited < 400*time.Millisecond || waited > 600*time.Millisecond {
+			t.Fatalf("%+v after %v", a, waited)
+		}
+	})
+}
+
+// The host that places is killed. Hosts that wait for it go on with the next leader, and
+// that one knows the streams in flight from their owners.
+func TestNextLeaderKnowsTheStreams(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		for i := range 4 {
+			b.place(t, i%2, fmt.Sprint(i))
+		}
+		time.Sleep(100 * time.Millisecond)
+		b.network.Remove("control-1")
+		b.leads["control-2"].Store(true)
+		for _, k := range b.known {
+			k.placers.Store(&[]hingeids.HostID{"control-2"})
+		}
+		time.Sleep(time.Second)
+		w := want("fifth")
+		w.Patience = 700 * time.Millisecond
+		if a := b.owners[0].Place(context.Background(), w); !a.Refused {
+			t.Fatalf("placed on engines that are full: %+v", a)
+		}
+	})
+}
+
+// No control host can be reached. Each entry host places alone, on its share of the memory
+// only: together they must not overfill an engine.
+func TestHostAlonePlacesOnItsShare(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.network.Remove("control-1")
+		b.network.Remove("control-2")
+		placed := 0
+		for i := range 6 {
+			w := want(fmt.Sprint(i))
+			w.Patience = 600 * time.Millisecond
+			a := b.owners[0].Place(context.Background(), w)
+			if a.Refused {
+				continue
+			}
+			if !a.Alone {
+				t.Fatalf("not alone: %+v", a)
+			}
+			placed++
+			b.owners[0].Begin(w, a)
+		}
+		if placed != 2 {
+			t.Fatalf("%d streams on half of two engines", placed)
+		}
+	})
+}
+
+// A caller leaves while its stream waits. Its place in the queue must not be granted to
+// nobody.
+func TestWaitEndsWithItsCaller(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		var streams []*Stream
+		for i := range 4 {
+			_, s := b.place(t, 0, fmt.Sprint(i))
+			streams = append(streams, s)
+		}
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, leave)
+		if a := b.owners[1].Place(ctx, want("left")); !a.Refused {
+			t.Fatalf("%+v", a)
+		}
+		time.Sleep(300 * time.Millisecond)
+		streams[0].End()
+		time.Sleep(100 * time.Millisecond)
+		if a, _ := b.place(t, 1, "next"); a.Refused || a.Waited > 100*time.Millisecond {
+			t.Fatalf("the place that was left isn't free: %+v", a)
+		}
+	})
+}
--- a/internal/membership/hingeannounce/directory_test.go
+++ b/internal/membership/hingeannounce/directory_test.go
@@ -113,7 +113,7 @@
 			t.Fatalf("heartbeat %d is told on", i)
 		}
 	}
-	if got := d.Since(change); got != nil && len(got) != 0 {
+	if got := d.Since(change); len(got) != 0 {
 		t.Fatalf("%d records to be told", len(got))
 	}
 }
--- a/internal/membership/hingefollow/follow_test.go
+++ b/internal/membership/hingefollow/follow_test.go
@@ -101,7 +101,7 @@
 }
 
 // follow starts a follower that knows one seed.
-func (x *fleet) follow(self hingeids.HostID, seed hingeids.HostID) (*Follower, *hingeannounce.Directory) {
+func (x *fleet) follow(self, seed hingeids.HostID) (*Follower, *hingeannounce.Directory) {
 	d := hingeannounce.NewDirectory(self)
 	f := New(Settings{
 		Self:  self,
--- /dev/null
+++ b/internal/observe/hingelines/lines_test.go
@@ -0,0 +1,99 @@
+package hingelines
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
+)
+
+// output is a writer that can be looked at while it is written.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) lines() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Split(strings.TrimSpace(o.b.String()), "\n")
+}
+
+func TestLineSaysWhoWhatAndWhen(t *testing.T) {
+	out := &output{}
+	w := New(out)
+	r := hingeevents.NewRecorderTo(hingeids.Life{
+		Host: "entry-1",
+	}, w.Take)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		_ = w.Run(ctx)
+	}()
+	r.Record(time.Now(), hingeevents.RequestGivenUp, hingeevents.Fields{
+		Asked: "request-7",
+		Took:  1500 * time.Microsecond,
+	})
+	stop()
+	<-w.Done()
+	var got struct {
+		At     time.Time `json:"at"`
+		Name   string    `json:"name"`
+		By     string    `json:"by"`
+		TookMs float64   `json:"tookMs"`
+		Fields struct {
+			Asked string `json:"asked"`
+		} `json:"fields"`
+	}
+	if err := json.Unmarshal([]byte(out.lines()[0]), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got.Name != "requestGivenUp" || got.By != "entry-1" || got.TookMs != 1.5 || got.Fields.Asked != "request-7" {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// Nobody reads the output of a process, or it says more than can be written. Its
+// requests must not wait for that, and whoever reads later must see that lines are missing.
+func TestFullQueueDropsAndSaysSo(t *testing.T) {
+	out := &output{}
+	w := New(out)
+	const sent = queued + 100
+	done := make(chan struct{})
+	go func() {
+		for range sent {
+			w.Take(hingeevents.Event{
+				Number: hingeevents.RequestAnswered,
+			})
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("events wait for the writer")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if err := w.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	lines := out.lines()
+	if w.Dropped() != 100 || !strings.Contains(lines[0], `"dropped":100`) {
+		t.Fatalf("dropped %d, first line %s", w.Dropped(), lines[0])
+	}
+	if strings.Contains(lines[1], "dropped") {
+		t.Fatalf("the loss is told twice: %s", lines[1])
+	}
+}
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -218,10 +218,10 @@
 	if !errors.As(err, &v) || v.Verdict != hingeverdict.NotRun {
 		return hingebalance.Failed
 	}
-	switch {
-	case v.Code == hingeverdict.CodeServerRefused:
+	switch v.Code {
+	case hingeverdict.CodeServerRefused:
 		return hingebalance.Full
-	case v.Code == hingeverdict.CodeServerGone:
+	case hingeverdict.CodeServerGone:
 		return hingebalance.Gone
 	}
 	return hingebalance.Unreached
