--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -1,10 +1,13 @@
 package hingeplacer
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -92,6 +95,7 @@
 		sequence: uint64(clock().UnixNano()),
 	}
 	o.alone = New(ownShare{
+		self:   self,
 		fleets: f,
 	}, func() bool {
 		return true
@@ -99,26 +103,54 @@
 	return o
 }
 
-// ownShare gives the engines with the share of their memory that one host may fill alone.
+// ownShare gives the engines, with the share of their memory, that one host may fill alone
+// (rule 3). With many hosts a share of every engine would be less than one stream, so each host
+// keeps to a few engines, drawn by lot, of which it has a part that is worth having.
 type ownShare struct {
+	self   hingeids.HostID
 	fleets Fleets
 }
 
+// hostsPerEngine is how many lone hosts share an engine: four streams of the mean
+// length fit into the memory of the smallest engines of today.
+const hostsPerEngine = 4
+
 func (s ownShare) Engines() map[hingeids.Service][]hingefleet.Engine {
 	all := s.fleets.Engines()
-	part := min(ownLimit/float64(max(s.fleets.Entries(), 1)), 1)
+	hosts := max(s.fleets.Entries(), 1)
 	out := make(map[hingeids.Service][]hingefleet.Engine, len(all))
 	for name, list := range all {
-		mine := make([]hingefleet.Engine, 0, len(list))
-		for _, e := range list {
-			e.Memory = hingeids.Tokens(part * float64(e.Memory))
-			mine = append(mine, e)
-		}
-		out[name] = mine
+		out[name] = s.share(list, hosts)
 	}
 	return out
 }
 
+func (s ownShare) share(list []hingefleet.Engine, hosts int) []hingefleet.Engine {
+	var mine, decode []hingefleet.Engine
+	for _, e := range list {
+		if e.Role == hingefleet.Decode {
+			decode = append(decode, e)
+			continue
+		}
+		mine = append(mine, e)
+	}
+	slices.SortFunc(decode, func(a, b hingefleet.Engine) int {
+		return cmp.Compare(s.lot(a), s.lot(b))
+	})
+	few := min(max(hostsPerEngine*len(decode)/hosts, 1), len(decode))
+	for _, e := range decode[:few] {
+		part := ownLimit * float64(len(decode)) / float64(hosts*few)
+		e.Memory = hingeids.Tokens(min(part, 1) * float64(e.Memory))
+		mine = append(mine, e)
+	}
+	return mine
+}
+
+// lot orders engines differently for each host.
+func (s ownShare) lot(e hingefleet.Engine) uint64 {
+	return xxhash.Sum64String(string(s.self) + "/" + string(e.Server))
+}
+
 // Done closes when Run has ended.
 func (o *Owner) Done() <-chan struct{} {
 	return o.done
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -276,6 +276,10 @@
 	for s, f := range p.fleets {
 		demands[s] = f.Demand(now)
 		f.SetEngines(engines[s])
+		if len(engines[s]) == 0 {
+			p.handBack(f)
+			continue
+		}
 		for _, d := range f.Step(now) {
 			p.answer(d)
 		}
@@ -284,6 +288,19 @@
 	return left
 }
 
+// handBack gives what waits in a fleet back to its owners. A control host that has just
+// started has heard of no engine yet; its owners have.
+func (p *Placer) handBack(f *hingefleet.Fleet) {
+	for _, id := range f.Withdraw() {
+		if answer := p.waiting[id]; answer != nil {
+			delete(p.waiting, id)
+			answer <- Placement{
+				NotHere: true,
+			}
+		}
+	}
+}
+
 // stepDown hands all that waits back to its owners.
 func (p *Placer) stepDown() {
 	p.demands.Store(&map[hingeids.Service]hingefleet.Demand{})
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// Withdraw takes all wants back that wait, and names them.
+func (f *Fleet) Withdraw() []StreamID {
+	var out []StreamID
+	for _, w := range f.queue {
+		out = append(out, w.ID)
+	}
+	f.queue = nil
+	return out
+}
+
 // firstOffer tells a want that is new from one that is offered again while it
 // waits, which comes a quarter of a second later at the earliest.
 const firstOffer = 200 * time.Millisecond
--- a/internal/decide/hingeshift/shift.go
+++ b/internal/decide/hingeshift/shift.go
@@ -13,7 +13,9 @@
 //  4. Hysteresis: the same shift must be worth it for HoldFor without a break, and
 //     after a shift the next one waits for Rest. The demand of a minute that
 //     goes back and forth moves nothing.
-//  5. Each role keeps at least one engine, and one engine shifts at a time.
+//  5. Each role keeps at least one engine. One engine shifts at a time, and in a large
+//     pool as many more at the same moment as the same demand asks for (More): one after
+//     the other, thirty engines would take longer to follow a demand than it lasts.
 //
 // Limits: one model at a time; that an engine of the other zone could help is not
 // seen here.
@@ -73,6 +75,10 @@
 	toward hingeannounce.Kind
 	since  time.Time
 	last   time.Time
+	// moved and lasted are the direction of the last shift and how long the demand
+	// for it had lasted.
+	moved  hingeannounce.Kind
+	lasted time.Duration
 }
 
 // New makes a shifter.
@@ -112,6 +118,24 @@
 		return Shift{}, false
 	}
 	s.last, s.since = now, now
+	s.moved, s.lasted = to, lasts
+	return Shift{
+		Server: e.Server,
+		To:     to,
+	}, true
+}
+
+// More gives a further shift that the demand behind the last one asks for, with the
+// engines as they will be after it.
+func (s *Shifter) More(engines []Engine, d Demand) (Shift, bool) {
+	to, gain := better(engines, d)
+	if to == "" || to != s.moved {
+		return Shift{}, false
+	}
+	e := cheapest(engines, to)
+	if gain*s.lasted.Seconds() < 2*(e.Drain+s.config.Change).Seconds() {
+		return Shift{}, false
+	}
 	return Shift{
 		Server: e.Server,
 		To:     to,
--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -1,8 +1,9 @@
 // Package hingefollow takes what the control hosts know to everyone else: the
 // configuration in force and the directory of backend servers.
 //
-//  1. A follower asks every control host it knows of, each with one long
-//     question at a time. An answer comes at a change, or when the hold time is over. Each
+//  1. A follower asks a few control hosts (mostFollowed), each with one long
+//     question at a time: those of its own zone first, then the leader, then others by
+//     lot. An answer comes at a change, or when the hold time is over. Each
 //     answer is whole in itself, so a lost one costs a question and nothing else.
 //  2. A follower takes the newest of all that it hears: of the configuration the
 //     highest version, of a backend server the newest record. So a control host that is cut
@@ -15,15 +16,19 @@
 //  5. Control hosts follow each other too, so a follower that reaches only one of them
 //     still hears everything. Records that are merged twice change nothing, which
 //     ends the round.
+//  6. A configuration comes from the first of those that are asked; the others only say its
+//     version, and send it when they are asked once more because it hasn't come.
 package hingefollow
 
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
@@ -49,6 +54,12 @@
 	retryPause = 150 * time.Millisecond
 	// forgetAfter is how long a control host that nobody names may go unheard.
 	forgetAfter = 10 * time.Second
+	// mostFollowed is how many control hosts an entry host asks. One may be cut off, and
+	// another be ending: with three somebody is always heard, and 560 hosts ask
+	// 840 questions a second of 15 control hosts, not 4,200.
+	mostFollowed = 3
+	// briefWait is how long a configuration may be late behind its version (rule 6).
+	briefWait = 150 * time.Millisecond
 	// gather is how long an answer waits for more after a change: a control host that
 	// comes back hears dozens of servers at once.
 	gather = 2 * time.Millisecond
@@ -65,6 +76,14 @@
 	Fresh bool `cbor:"4,keyasint,omitempty"`
 	// Entry says that the follower takes requests from callers.
 	Entry bool `cbor:"5,keyasint,omitempty"`
+	// Brief asks for the version of a newer configuration only (rule 6).
+	Brief bool `cbor:"6,keyasint,omitempty"`
+}
+
+// named is a control host as others name it.
+type named struct {
+	Host hingeids.HostID `cbor:"1,keyasint"`
+	Zone hingeids.Zone   `cbor:"2,keyasint,omitempty"`
 }
 
 // answer is what a control host says.
@@ -74,12 +93,14 @@
 	Records  []hingeannounce.Record `cbor:"3,keyasint,omitempty"`
 	Document *hingeversion.Document `cbor:"4,keyasint,omitempty"`
 	Leader   hingeids.HostID        `cbor:"5,keyasint,omitempty"`
-	Control  []hingeids.HostID      `cbor:"6,keyasint,omitempty"`
-	Entries  int                    `cbor:"7,keyasint,omitempty"`
-	Fresh    bool                   `cbor:"8,keyasint,omitempty"`
-	InTouch  bool                   `cbor:"9,keyasint,omitempty"`
-	Term     uint64                 `cbor:"10,keyasint,omitempty"`
-	Zone     hingeids.Zone          `cbor:"11,keyasint,omitempty"`
+	Control  []named                `cbor:"6,keyasint,omitempty"`
+	// Version is that of the newest configuration, whether or not Document is sent.
+	Version hingeversion.Version `cbor:"12,keyasint,omitempty"`
+	Entries int                  `cbor:"7,keyasint,omitempty"`
+	Fresh   bool                 `cbor:"8,keyasint,omitempty"`
+	InTouch bool                 `cbor:"9,keyasint,omitempty"`
+	Term    uint64               `cbor:"10,keyasint,omitempty"`
+	Zone    hingeids.Zone        `cbor:"11,keyasint,omitempty"`
 }
 
 // State is what a follower knows; nobody changes it.
@@ -109,7 +130,10 @@
 
 // Settings of a follower.
 type Settings struct {
-	Self  hingeids.HostID
+	Self hingeids.HostID
+	Zone hingeids.Zone
+	// Entry says that the host takes requests from callers. Others are control hosts, and
+	// follow all of their kind (rule 5).
 	Entry bool
 	Clock func() time.Time
 	// Took is called for each record that is new here, in no goroutine of its own.
@@ -137,6 +161,12 @@
 	change  uint64
 	zone    hingeids.Zone
 	inTouch bool
+	// first says that it sends configurations whole, and behind that it has told
+	// of one that hasn't come (rule 6).
+	first  bool
+	behind bool
+	// askedAt is when the follower began to ask it.
+	askedAt time.Time
 	stop    context.CancelFunc
 	started bool
 }
@@ -199,16 +229,22 @@
 	}
 	for id, h := range f.hosts {
 		if now.Sub(h.named) > forgetAfter && now.Sub(h.heard) > forgetAfter {
-			if h.started {
-				h.stop()
-			}
+			h.end()
 			delete(f.hosts, id)
+		}
+	}
+	for i, id := range f.ranked(now) {
+		h := f.hosts[id]
+		if f.settings.Entry && i >= mostFollowed {
+			h.end()
 			continue
 		}
+		h.first = i == 0
 		if h.started {
 			continue
 		}
 		h.started = true
+		h.askedAt = now
 		var inner context.Context
 		inner, h.stop = context.WithCancel(ctx)
 		f.all.Go(func() {
@@ -217,6 +253,49 @@
 	}
 }
 
+// end stops asking a host.
+func (h *host) end() {
+	if h.started {
+		h.stop()
+		h.started = false
+	}
+}
+
+// ranked gives the control hosts, the best to ask first (rule 1). One that is asked and
+// hasn't answered for a while goes behind the others. The caller holds the lock.
+func (f *Follower) ranked(now time.Time) []hingeids.HostID {
+	leader := f.state.Load().Leader
+	rank := func(id hingeids.HostID) int {
+		h := f.hosts[id]
+		switch {
+		case h.started && now.Sub(later(h.heard, h.askedAt)) > hold+answerGrace:
+			return 3
+		case h.zone == f.settings.Zone:
+			return 0
+		case id == leader:
+			return 1
+		}
+		return 2
+	}
+	list := slices.Collect(maps.Keys(f.hosts))
+	slices.SortFunc(list, func(a, b hingeids.HostID) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(f.lot(a), f.lot(b)))
+	})
+	return list
+}
+
+// lot orders control hosts differently for each follower.
+func (f *Follower) lot(id hingeids.HostID) uint64 {
+	return xxhash.Sum64String(string(f.settings.Self) + "/" + string(id))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // name notes that somebody speaks of a control host. The caller holds the lock.
 func (f *Follower) name(now time.Time, id hingeids.HostID) {
 	if id == f.settings.Self {
@@ -240,9 +319,25 @@
 			continue
 		}
 		f.take(now, h, a)
+		if f.lacks(a.Version) {
+			pause(ctx, briefWait)
+			f.note(h, f.lacks(a.Version))
+		}
 	}
 }
 
+// lacks reports whether a configuration has been told of that hasn't come.
+func (f *Follower) lacks(v hingeversion.Version) bool {
+	return f.state.Load().Document.Version < v
+}
+
+// note notes whether a host has to send a configuration whole.
+func (f *Follower) note(h *host, behind bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.behind = behind
+}
+
 func (f *Follower) ask(ctx context.Context, id hingeids.HostID, h *host) (answer, error) {
 	s := f.state.Load()
 	f.mu.Lock()
@@ -252,6 +347,7 @@
 		Version: s.Document.Version,
 		Fresh:   !s.Ready,
 		Entry:   f.settings.Entry,
+		Brief:   s.Ready && !h.first && !h.behind,
 	}
 	f.mu.Unlock()
 	one, stop := context.WithTimeout(ctx, hold+answerGrace)
@@ -279,6 +375,7 @@
 	h.life = a.Life
 	h.change = a.Change
 	h.zone = a.Zone
+	h.behind = false
 	h.inTouch = a.InTouch
 	next := *f.state.Load()
 	if a.Document != nil && a.Document.Version > next.Document.Version {
@@ -290,8 +387,11 @@
 		if a.Entries > 0 {
 			next.Entries = a.Entries
 		}
-		for _, id := range a.Control {
-			f.name(now, id)
+		for _, c := range a.Control {
+			f.name(now, c.Host)
+			if h := f.hosts[c.Host]; h != nil && c.Zone != "" {
+				h.zone = c.Zone
+			}
 		}
 	}
 	if a.Leader != "" && a.Term >= next.Term {
--- a/internal/membership/hingefollow/follow_test.go
+++ b/internal/membership/hingefollow/follow_test.go
@@ -95,7 +95,9 @@
 	c.source = NewSource(hingeids.Life{
 		Host:        h,
 		Incarnation: life,
-	}, c.origin, time.Now, x.network.Link(h))
+	}, c.origin, func(hingeids.HostID) hingeids.Zone {
+		return ""
+	}, time.Now, x.network.Link(h))
 	x.all[h] = c
 	return c
 }
@@ -184,6 +186,30 @@
 	})
 }
 
+// The host that sends configurations whole is cut off from the group, and goes on answering with
+// what it has. The others only tell that there is a newer one, and have to send it.
+func TestConfigurationComesFromAnotherHost(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		f, _ := x.follow("entry-1", "control-1")
+		for _, c := range x.all {
+			c.accept(1)
+		}
+		time.Sleep(5 * time.Second)
+		for _, h := range []hingeids.HostID{"control-1", "control-2"} {
+			next := f.State().Load().Document.Version + 1
+			x.all[h].accept(next)
+			time.Sleep(500 * time.Millisecond)
+			if v := f.State().Load().Document.Version; v != next {
+				t.Fatalf("version %d is in force while %s has %d", v, h, next)
+			}
+			for _, c := range x.all {
+				c.accept(next)
+			}
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
 // The leader dies and a host that was behind answers first. What is in force must
 // not go back.
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -40,6 +40,8 @@
 	life   hingeids.Incarnation
 	origin Origin
 	clock  func() time.Time
+	// zones gives the zone of a control host, empty if it isn't known.
+	zones func(hingeids.HostID) hingeids.Zone
 
 	mu        sync.Mutex
 	directory *hingeannounce.Directory
@@ -47,9 +49,13 @@
 	entries   map[hingeids.HostID]time.Time
 }
 
-// NewSource makes the source of a control host and sets its handler.
-func NewSource(life hingeids.Life, o Origin, clock func() time.Time, link hingelink.Link) *Source {
+// NewSource makes the source of a control host and sets its handler. Zones gives the
+// zone of a control host, empty if it isn't known.
+func NewSource(
+	life hingeids.Life, o Origin, zones func(hingeids.HostID) hingeids.Zone, clock func() time.Time, link hingelink.Link,
+) *Source {
 	s := &Source{
+		zones:     zones,
 		life:      life.Incarnation,
 		origin:    o,
 		clock:     clock,
@@ -173,11 +179,13 @@
 		Life:    s.life,
 		Leader:  standing.Leader,
 		Term:    standing.Term,
-		Control: standing.Members,
+		Control: s.named(standing.Members),
 		InTouch: standing.InTouch,
 		Zone:    standing.Zone,
 	}
-	if d := s.origin.Documents().Load(); d.Version > q.Version {
+	d := s.origin.Documents().Load()
+	a.Version = d.Version
+	if d.Version > q.Version && !q.Brief {
 		a.Document = d
 	}
 	s.mu.Lock()
@@ -188,6 +196,18 @@
 	return a
 }
 
+// named gives the members of the group with their zones, as far as they are known.
+func (s *Source) named(members []hingeids.HostID) []named {
+	out := make([]named, 0, len(members))
+	for _, h := range members {
+		out = append(out, named{
+			Host: h,
+			Zone: s.zones(h),
+		})
+	}
+	return out
+}
+
 // wait returns shortly after something changes, or when the hold time is over.
 func (s *Source) wait(ctx context.Context, q question) {
 	timer := time.NewTimer(hold)
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -106,9 +106,10 @@
 	if c.group, err = c.openGroup(ctx); err != nil {
 		return nil, err
 	}
-	c.source = hingefollow.NewSource(o.Life, c, hingeclock.Boot, c.link)
+	c.source = hingefollow.NewSource(o.Life, c, c.zoneOf, hingeclock.Boot, c.link)
 	c.follower = hingefollow.New(hingefollow.Settings{
 		Self:  o.Life.Host,
+		Zone:  o.Zone,
 		Clock: hingeclock.Boot,
 		Took: func(now time.Time, records []hingeannounce.Record) {
 			c.source.Merge(now, records)
@@ -300,6 +301,19 @@
 	return out
 }
 
+// zoneOf gives the zone of a control host that this one follows, or its own.
+func (c *Control) zoneOf(h hingeids.HostID) hingeids.Zone {
+	if h == c.options.Life.Host {
+		return c.options.Zone
+	}
+	for _, x := range c.follower.State().Load().Control {
+		if x.Host == h {
+			return x.Zone
+		}
+	}
+	return ""
+}
+
 // Announce takes what a backend server says of itself.
 func (c *Control) Announce(now time.Time, a hingeannounce.Announcement) {
 	if c.source.Hear(now, a) {
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -28,6 +28,9 @@
 	// longer than a change takes, so that its effect is seen before the next.
 	holdFor = 3 * time.Second
 	rest    = 9 * time.Second
+	// shiftAtOnce is how many engines there are to each that changes at the same moment: an
+	// eighth of a large pool is away for a change, no more than one of nine is of a small one.
+	shiftAtOnce = 8
 	// mostLast bounds how long a demand is taken to last.
 	mostLast = time.Minute
 	// idleCost is the share of a change's time that counts where the engine's pool can spare
@@ -211,9 +214,18 @@
 	}
 	shifter.SetChange(cost)
 	shift, ok := shifter.Decide(now, engines, planned)
-	if !ok {
-		return
+	for range max(len(list)/shiftAtOnce, 1) {
+		if !ok {
+			return
+		}
+		r.change(now, shift)
+		engines, _ = r.standing(list)
+		shift, ok = shifter.More(engines, planned)
 	}
+}
+
+// change puts an engine under orders.
+func (r *roles) change(now time.Time, shift hingeshift.Shift) {
 	role := hingefleet.Prefill
 	if shift.To == hingeannounce.Decode {
 		role = hingefleet.Decode
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -107,6 +107,7 @@
 	}
 	f.follower = hingefollow.New(hingefollow.Settings{
 		Self:  o.Life.Host,
+		Zone:  o.Zone,
 		Entry: true,
 		Clock: hingeclock.Boot,
 		Took:  f.took,
