--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -31,9 +31,6 @@
 	// lastStreams is how long after the process was told to end streams are still begun. They last
 	// some four seconds, and the grace of today's deployments is eight.
 	lastStreams = 1500 * time.Millisecond
-	// hintMargin is what is added to a caller's estimate: half of the answers are
-	// longer than it, and the mean of what they are is an eighth more.
-	hintMargin = 1.12
 )
 
 // run is a stream on its way.
@@ -129,7 +126,6 @@
 	if t <= 0 {
 		t = a.Longest / 2
 	}
-	t = hingeids.Tokens(hintMargin * float64(t))
 	if a.Longest > 0 {
 		t = min(t, a.Longest)
 	}
