--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -33,7 +33,6 @@
 	proxy *proxy
 	seq   atomic.Uint64
 	cache atomic.Uint64
-	taken sync.Map
 }
 
 func (s *soak) startServers(ctx context.Context) error {
