--- a/internal/soak/hingesoak/fleet.go
+++ b/internal/soak/hingesoak/fleet.go
@@ -28,9 +28,10 @@
 	settings hingeplatform.Settings
 
 	// mu is held while something is done to the process.
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	started time.Time
+	exited  chan struct{}
 }
 
 // fleet is all programs of a run.
@@ -125,6 +126,7 @@
 		return eris.Wrapf(err, "start %s", p.name)
 	}
 	p.exited = make(chan struct{})
+	p.started = time.Now()
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		// How it ended is told by its log.
 		_ = cmd.Wait()
--- a/internal/soak/hingesoak/plan.go
+++ b/internal/soak/hingesoak/plan.go
@@ -116,6 +116,10 @@
 // repairTime is how long a control host may take to hold everything again after it is back.
 const repairTime = 4 * time.Second
 
+// bornTime is how long after its start a process gets no signal that it has to take: no program
+// can take one before its first instruction.
+const bornTime = 300 * time.Millisecond
+
 // strike does one thing to one process.
 func (x *fleet) strike(p *process, f fault) {
 	x.faults.Go(func() {
@@ -123,6 +127,7 @@
 		defer p.mu.Unlock()
 		switch f.kind {
 		case hup:
+			time.Sleep(time.Until(p.started.Add(bornTime)))
 			p.signal(syscall.SIGHUP)
 		case freeze:
 			p.signal(syscall.SIGSTOP)
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -231,6 +231,7 @@
 		_ = from.Close()
 	}()
 	b := make([]byte, 4096)
+	lost := false
 	for {
 		n, err := from.Read(b)
 		if err != nil {
@@ -243,9 +244,11 @@
 		case delay:
 			time.Sleep(150 * time.Millisecond)
 		case oneWay:
-			if answers {
-				continue
-			}
+			// Bytes that were lost on the way never come, and nothing behind them does.
+			lost = lost || answers
+		}
+		if lost {
+			continue
 		}
 		if _, err := to.Write(b[:n]); err != nil {
 			return
