--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -81,6 +81,10 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
+	// Disks of an earlier run would keep a new system from being founded.
+	if err := os.RemoveAll(o.Folder); err != nil {
+		return Report{}, eris.Wrap(err, "folder of the soak")
+	}
 	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
 		return Report{}, eris.Wrap(err, "folder of the soak")
 	}
