--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -20,4 +20,10 @@
 //     Without a leader it is refused at once, with a time to come back.
 //  6. Read asks the leader for the index that is committed, under its lease, and waits
 //     until the own state machine has applied it.
+//  7. In an open group hosts join by themselves, and the leader keeps the number of
+//     voters (hingelog rule 13). A host that was founded with others before only ever joins:
+//     with an empty disk it would else found a second group as soon as all others are empty too.
+//  8. A disk that refuses a write doesn't end the process. The member forgets all that it
+//     had in memory, since nobody knows what the write left, and begins anew from
+//     the disk once that takes writes again. Meanwhile it neither votes nor leads.
 package hingegroup
--- /dev/null
+++ b/internal/capacity/hingeplacer/alone.go
@@ -0,0 +1,63 @@
+package hingeplacer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+)
+
+// ownShare gives the engines, with the share of their memory, that one host may fill alone
+// (rule 3). With many hosts a share of every engine would be less than one stream, so each host
+// keeps to a few engines, drawn by lot, of which it has a part that is worth having.
+type ownShare struct {
+	self   hingeids.HostID
+	fleets Fleets
+}
+
+// hostsPerEngine is how many lone hosts share an engine: four streams of the mean
+// length fit into the memory of the smallest engines of today.
+const hostsPerEngine = 4
+
+// ownLimit is how full an engine is made by a host that places alone, as a share of its
+// share: the others' bursts don't add up to more.
+const ownLimit = 1.2
+
+func (s ownShare) Engines() map[hingeids.Service][]hingefleet.Engine {
+	all := s.fleets.Engines()
+	hosts := max(s.fleets.Entries(), 1)
+	out := make(map[hingeids.Service][]hingefleet.Engine, len(all))
+	for name, list := range all {
+		out[name] = s.share(list, hosts)
+	}
+	return out
+}
+
+func (s ownShare) share(list []hingefleet.Engine, hosts int) []hingefleet.Engine {
+	var mine, decode []hingefleet.Engine
+	for _, e := range list {
+		if e.Role == hingefleet.Decode {
+			decode = append(decode, e)
+			continue
+		}
+		mine = append(mine, e)
+	}
+	slices.SortFunc(decode, func(a, b hingefleet.Engine) int {
+		return cmp.Compare(s.lot(a), s.lot(b))
+	})
+	few := min(max(hostsPerEngine*len(decode)/hosts, 1), len(decode))
+	for _, e := range decode[:few] {
+		part := ownLimit * float64(len(decode)) / float64(hosts*few)
+		e.Memory = hingeids.Tokens(min(part, 1) * float64(e.Memory))
+		mine = append(mine, e)
+	}
+	return mine
+}
+
+// lot orders engines differently for each host.
+func (s ownShare) lot(e hingefleet.Engine) uint64 {
+	return xxhash.Sum64String(string(s.self) + "/" + string(e.Server))
+}
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -1,16 +1,14 @@
 package hingeplacer
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
@@ -34,9 +32,6 @@
 	// lost packet.
 	silentFor   = 500 * time.Millisecond
 	silentAfter = 2
-	// ownLimit is how full an engine is made by a host that places alone
-	// (rule 3), as a share of its share: the others' bursts don't add up to more.
-	ownLimit = 1.2
 )
 
 // Fleets is what an owner knows of the fleet: who places, and what to do alone.
@@ -103,54 +98,6 @@
 	return o
 }
 
-// ownShare gives the engines, with the share of their memory, that one host may fill alone
-// (rule 3). With many hosts a share of every engine would be less than one stream, so each host
-// keeps to a few engines, drawn by lot, of which it has a part that is worth having.
-type ownShare struct {
-	self   hingeids.HostID
-	fleets Fleets
-}
-
-// hostsPerEngine is how many lone hosts share an engine: four streams of the mean
-// length fit into the memory of the smallest engines of today.
-const hostsPerEngine = 4
-
-func (s ownShare) Engines() map[hingeids.Service][]hingefleet.Engine {
-	all := s.fleets.Engines()
-	hosts := max(s.fleets.Entries(), 1)
-	out := make(map[hingeids.Service][]hingefleet.Engine, len(all))
-	for name, list := range all {
-		out[name] = s.share(list, hosts)
-	}
-	return out
-}
-
-func (s ownShare) share(list []hingefleet.Engine, hosts int) []hingefleet.Engine {
-	var mine, decode []hingefleet.Engine
-	for _, e := range list {
-		if e.Role == hingefleet.Decode {
-			decode = append(decode, e)
-			continue
-		}
-		mine = append(mine, e)
-	}
-	slices.SortFunc(decode, func(a, b hingefleet.Engine) int {
-		return cmp.Compare(s.lot(a), s.lot(b))
-	})
-	few := min(max(hostsPerEngine*len(decode)/hosts, 1), len(decode))
-	for _, e := range decode[:few] {
-		part := ownLimit * float64(len(decode)) / float64(hosts*few)
-		e.Memory = hingeids.Tokens(min(part, 1) * float64(e.Memory))
-		mine = append(mine, e)
-	}
-	return mine
-}
-
-// lot orders engines differently for each host.
-func (s ownShare) lot(e hingefleet.Engine) uint64 {
-	return xxhash.Sum64String(string(s.self) + "/" + string(e.Server))
-}
-
 // Done closes when Run has ended.
 func (o *Owner) Done() <-chan struct{} {
 	return o.done
@@ -314,7 +261,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-o.dirty:
-			sleep(ctx, gatherReports)
+			hingeclock.Pause(ctx, gatherReports)
 		case <-ticker.C:
 			placer := first(o.fleets.Placers())
 			if o.idle() && placer == to {
@@ -375,12 +322,3 @@
 	}
 	return r
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -35,6 +35,7 @@
 import (
 	"time"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -293,7 +294,7 @@
 			e.leaves = 0
 		}
 	case Full:
-		e.awayTill = later(e.awayTill, now.Add(fullAway))
+		e.awayTill = hingeclock.Later(e.awayTill, now.Add(fullAway))
 	case Unreached:
 		e.leave(now)
 	case Failed:
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -277,7 +278,7 @@
 	if p == nil {
 		return Grant{}, time.Time{}, false
 	}
-	p.freeAt = later(now, p.freeAt).Add(reading(w.Prompt))
+	p.freeAt = hingeclock.Later(now, p.freeAt).Add(reading(w.Prompt))
 	g.Prefill = p.Server
 	return g, p.freeAt.Add(prefillStart), true
 }
--- a/internal/decide/hingefleet/room.go
+++ b/internal/decide/hingefleet/room.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -133,7 +134,7 @@
 		if e.Role != Prefill || now.Before(e.awayTill) || slices.Contains(w.Avoid, e.Server) {
 			continue
 		}
-		at := later(now, e.freeAt)
+		at := hingeclock.Later(now, e.freeAt)
 		if at.Sub(now) > mostBacklog {
 			continue
 		}
@@ -155,13 +156,6 @@
 // mean size or one of the longest, so that it never idles while a decision is on its way.
 const mostBacklog = 200 * time.Millisecond
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // reading is how long a prefill engine reads a prompt.
 func reading(t hingeids.Tokens) time.Duration {
 	return time.Duration(float64(t) / prefillPace * float64(time.Second))
--- a/internal/decide/hingefleet/sim_test.go
+++ b/internal/decide/hingefleet/sim_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -281,7 +282,7 @@
 		return
 	}
 	p := s.engines[d.Grant.Prefill]
-	p.freeAt = later(now, p.freeAt).Add(time.Duration(x.prompt / 55000 * float64(time.Second)))
+	p.freeAt = hingeclock.Later(now, p.freeAt).Add(time.Duration(x.prompt / 55000 * float64(time.Second)))
 	x.beginsAt = p.freeAt.Add(20 * time.Millisecond)
 	x.decode = d.Grant.Decode
 	s.started++
--- a/internal/link/hingelink/peer.go
+++ b/internal/link/hingelink/peer.go
@@ -5,11 +5,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
@@ -145,7 +145,7 @@
 			if q.forget(p) {
 				return
 			}
-			pause(ctx, redialPause)
+			hingeclock.Pause(ctx, redialPause)
 			continue
 		}
 		wasUp = q.keep(ctx, p, d, wasUp)
@@ -173,7 +173,7 @@
 	}
 	p.set(nil, eris.Wrapf(cause, "host %s ended the connection", p.host))
 	q.recordAway(p, wasUp, cause)
-	pause(ctx, redialPause)
+	hingeclock.Pause(ctx, redialPause)
 	return false
 }
 
@@ -187,12 +187,3 @@
 		Detail: cause.Error(),
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -10,6 +10,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
@@ -167,7 +168,7 @@
 	defer stop()
 	if err := s.origin.Read(one); err != nil {
 		// The follower asks again; without the pause it would do so without a break.
-		pause(ctx, retryPause)
+		hingeclock.Pause(ctx, retryPause)
 		return false
 	}
 	return true
@@ -220,7 +221,7 @@
 		news := s.directory.Change() > q.Change
 		s.mu.Unlock()
 		if news || s.origin.Documents().Load().Version > q.Version || s.origin.Standing().Leader != leader {
-			pause(ctx, gather)
+			hingeclock.Pause(ctx, gather)
 			return
 		}
 		select {
--- a/internal/path/hingeproxy/budget.go
+++ b/internal/path/hingeproxy/budget.go
@@ -10,8 +10,10 @@
 	// ownShare is the part of the fleet's budget that hosts use, so that
 	// a wrong count of hosts or an uneven load doesn't break it.
 	ownShare = 0.5
-	// leastBurst lets every host repeat two requests, however many hosts there are.
-	leastBurst = 2.0
+	// leastBurst lets every host repeat one request, however many hosts there are. A stream's
+	// repeat is a prefill and a run, so that two each of 74 hosts would be more than
+	// the fleet may save up.
+	leastBurst = 1.0
 )
 
 // limits is this host's part of the budget. Hosts share the burst evenly and
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -54,8 +54,9 @@
 	// leaveTime is how long the balancer takes to notice that a host isn't
 	// ready: two checks, a second apart, and some.
 	leaveTime = 2500 * time.Millisecond
-	// lastMoment is what is kept of the grace for the end itself.
-	lastMoment = 300 * time.Millisecond
+	// lastMoment is what is kept of the grace for the end itself. A host with a fifth of a core
+	// takes some tenths of a second to close a hundred connections.
+	lastMoment = 600 * time.Millisecond
 	// drainLook is how often a process that ends looks whether it may.
 	drainLook = 50 * time.Millisecond
 )
