--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -28,9 +28,12 @@
 	// longer than a change takes, so that its effect is seen before the next.
 	holdFor = 3 * time.Second
 	rest    = 9 * time.Second
-	// shiftAtOnce is how many engines there are to each that changes at the same moment: an
-	// eighth of a large pool is away for a change, no more than one of nine is of a small one.
-	shiftAtOnce = 8
+	// shiftAtOnce is how many engines there are, beyond smallPool, to each that changes at the
+	// same moment: at most a quarter of a pool is away for a change, and only engines that the
+	// plan can spare. A small pool moves one at a time: the demand of its first seconds
+	// is a few dozen streams, and two wrong engines of nine are a fifth of it.
+	shiftAtOnce = 4
+	smallPool   = 5
 	// mostLast bounds how long a demand is taken to last.
 	mostLast = time.Minute
 	// idleCost is the share of a change's time that counts where the engine's pool can spare
@@ -214,7 +217,7 @@
 	}
 	shifter.SetChange(cost)
 	shift, ok := shifter.Decide(now, engines, planned)
-	for range max(len(list)/shiftAtOnce, 1) {
+	for range max((len(list)-smallPool)/shiftAtOnce, 1) {
 		if !ok {
 			return
 		}
