Count a moved stream's wait from its last event

A stream's id now names the life of its host: after a restart the first ids met those of streams that the placer still believed in.

--- a/internal/path/hingeproxy/proxy_test.go
+++ b/internal/path/hingeproxy/proxy_test.go
@@ -12,7 +12,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/path/hingewire"
 )
 
 // cut closes the connection without an answer.
@@ -435,3 +437,60 @@
 		t.Fatal(diff)
 	}
 }
+
+// The engine dies after it has streamed for longer than callers wait for a first event. Their
+// patience began anew with each event that they got, so another engine is still in time.
+func TestStreamThatBreaksLateGoesOnToo(t *testing.T) {
+	d, _, a, b := fleet(t, nil, nil)
+	slowly := func(other *standin) behaviour {
+		return func(_ int, q *http.Request, c net.Conn) bool {
+			if other.ran() > 0 {
+				return false
+			}
+			beginStream(c, q)
+			for i := 1; i <= 3; i++ {
+				events(c, i, i, false)
+				time.Sleep(800 * time.Millisecond)
+			}
+			return true
+		}
+	}
+	a.behave, b.behave = slowly(b), slowly(a)
+	d.left = 8 * time.Second
+	want := got{
+		Status: http.StatusOK,
+		Body:   wholeStream(),
+		Whole:  true,
+	}
+	if diff := cmp.Diff(want, d.ask("/dossier/7")); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// The same where engines are full: the placer must not count the time for which the caller
+// already had events, or it refuses at once what could still wait for room.
+func TestMovedStreamWaitsFromItsLastEvent(t *testing.T) {
+	d, _, _, _ := fleet(t, nil, nil)
+	now := time.Now()
+	route := routes().Match("quay.example", "/dossier/7")
+	r := &run{
+		job: &job{
+			Request: &hingewire.Request{
+				Arrived: now.Add(-5 * time.Second),
+			},
+			route:    route,
+			service:  "model",
+			deadline: now.Add(5 * time.Second),
+		},
+		engine:     routes().Services["model"].Engine,
+		waitsSince: now.Add(-5 * time.Second),
+	}
+	if w := d.proxy.want(r); w.Waited < 5*time.Second {
+		t.Fatalf("before its first event it waits %v", w.Waited)
+	}
+	r.relay.begun = true
+	d.proxy.moveOn(r, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerCut, 0, nil))
+	if w := d.proxy.want(r); !w.Moved || w.Waited > time.Second || w.Patience != route.Patience {
+		t.Fatalf("moved %v, waits %v of %v", w.Moved, w.Waited, w.Patience)
+	}
+}
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -38,9 +38,10 @@
 	engine *hingeroutes.Engine
 	relay  relay
 	avoid  []hingeids.ServerID
+	// waitsSince is when the caller got its last event, or asked.
+	waitsSince time.Time
 	// moved says that an engine broke off.
 	moved bool
-	tries int
 }
 
 // stream answers a request of a model service.
@@ -54,6 +55,7 @@
 		engine: e,
 	}
 	r.relay.last = j.asked.After
+	r.waitsSince = j.Arrived
 	for {
 		err := p.attempt(ctx, r)
 		switch {
@@ -93,8 +95,8 @@
 	}
 	if r.relay.begun {
 		r.moved = true
+		r.waitsSince = p.settings.Clock()
 	}
-	r.tries++
 	return p.again(r.job, err)
 }
 
@@ -105,14 +107,15 @@
 	p.sequence++
 	n := p.sequence
 	p.mu.Unlock()
+	waited := p.settings.Clock().Sub(r.waitsSince)
 	return hingeplacer.Want{
 		Service:  r.service,
-		ID:       hingefleet.StreamID(fmt.Sprintf("%s/%d", p.settings.Self.Host, n)),
+		ID:       hingefleet.StreamID(fmt.Sprintf("%s/%d/%d", p.settings.Self.Host, p.settings.Self.Incarnation, n)),
 		Prompt:   r.asked.Prompt + made,
 		Expected: max(expected(r.asked, r.engine)-made, r.engine.EventTokens),
-		Waited:   p.settings.Clock().Sub(r.Arrived),
+		Waited:   waited,
 		Target:   r.route.Target,
-		Patience: min(r.route.Patience, p.settings.Clock().Sub(r.Arrived)+p.left(r.job)),
+		Patience: min(r.route.Patience, waited+p.left(r.job)),
 		Left:     p.left(r.job),
 		Moved:    r.moved,
 		Avoid:    r.avoid,
