Count all entry hosts although each asks three control hosts

Cause: since entry hosts ask three control hosts, one of eight counted 28 of 74, and each host took nearly three times its part of the fleet's budget of repeats (its test, red before, couldn't be compiled: nothing counted all).

--- a/internal/membership/hingefollow/follow_test.go
+++ b/internal/membership/hingefollow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 // origin is what a control host of the test knows of the group.
 type origin struct {
 	documents hingeboard.Cell[hingeversion.Document]
+	mu        sync.Mutex
 	standing  Standing
 	// alone says that no leader can be asked.
 	alone bool
@@ -26,7 +28,41 @@
 
 func (o *origin) Documents() *hingeboard.Cell[hingeversion.Document] { return &o.documents }
 
-func (o *origin) Standing() Standing { return o.standing }
+func (o *origin) Standing() Standing {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.standing
+}
+
+func (o *origin) stands(s Standing) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.standing = s
+}
+
+// directory is what a follower has heard of servers.
+type directory struct {
+	mu      sync.Mutex
+	records *hingeannounce.Directory
+}
+
+func (d *directory) took(now time.Time, records []hingeannounce.Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range records {
+		d.records.Merge(now, r)
+	}
+}
+
+func (d *directory) servers() map[hingeids.ServerID]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[hingeids.ServerID]bool)
+	for _, r := range d.records.Since(0) {
+		out[r.Announcement.Server] = true
+	}
+	return out
+}
 
 func (o *origin) Read(context.Context) error {
 	if o.alone {
@@ -46,8 +82,13 @@
 type control struct {
 	*origin
 	source *Source
+	asking []int
 }
 
+func (c *control) ZoneOf(hingeids.HostID) hingeids.Zone { return "" }
+
+func (c *control) Asking() []int { return c.asking }
+
 // fleet is two control hosts and what follows them, under a fake clock.
 type fleet struct {
 	t       *testing.T
@@ -95,25 +136,21 @@
 	c.source = NewSource(hingeids.Life{
 		Host:        h,
 		Incarnation: life,
-	}, c.origin, func(hingeids.HostID) hingeids.Zone {
-		return ""
-	}, time.Now, x.network.Link(h))
+	}, c.origin, c, time.Now, x.network.Link(h))
 	x.all[h] = c
 	return c
 }
 
 // follow starts a follower that knows one seed.
-func (x *fleet) follow(self, seed hingeids.HostID) (*Follower, *hingeannounce.Directory) {
-	d := hingeannounce.NewDirectory(self)
+func (x *fleet) follow(self, seed hingeids.HostID) (*Follower, *directory) {
+	d := &directory{
+		records: hingeannounce.NewDirectory(self),
+	}
 	f := New(Settings{
 		Self:  self,
 		Entry: true,
 		Clock: time.Now,
-		Took: func(now time.Time, records []hingeannounce.Record) {
-			for _, r := range records {
-				d.Merge(now, r)
-			}
-		},
+		Took:  d.took,
 	}, x.network.Link(self), []hingeids.HostID{seed})
 	x.running = append(x.running, f)
 	go func() {
@@ -139,7 +176,7 @@
 		x.all["control-1"].accept(1)
 		x.all["control-2"].source.Hear(time.Now(), announcement("engine"))
 		time.Sleep(3 * time.Second)
-		if got := len(d.Since(0)); got != 1 {
+		if got := len(d.servers()); got != 1 {
 			t.Fatalf("%d servers are known", got)
 		}
 		s := f.State().Load()
@@ -170,7 +207,7 @@
 	inBubble(t, func(t *testing.T, x *fleet) {
 		cutOff := x.all["control-1"]
 		cutOff.alone = true
-		cutOff.standing = Standing{}
+		cutOff.stands(Standing{})
 		cutOff.accept(1)
 		f, _ := x.follow("entry-1", "control-1")
 		time.Sleep(3 * time.Second)
@@ -210,6 +247,50 @@
 	})
 }
 
+// Entry hosts ask three control hosts each. Counted by one of eight alone there would seem to be
+// a third of them, and each would take three times its part of what they share.
+func TestAllEntryHostsAreCounted(t *testing.T) {
+	for _, c := range []struct {
+		asking []int
+		want   int
+	}{
+		{
+			want: 0,
+		},
+		{
+			asking: []int{6},
+			want:   6,
+		},
+		{
+			asking: []int{6, 6, 6},
+			want:   6,
+		},
+		{
+			asking: []int{30, 28, 25, 31, 27, 26, 29, 26},
+			want:   74,
+		},
+		{
+			// One has just restarted, and is asked again within a moment.
+			asking: []int{6, 0, 6},
+			want:   4,
+		},
+	} {
+		if got := CountEntries(c.asking); got != c.want {
+			t.Errorf("%v: %d entry hosts, want %d", c.asking, got, c.want)
+		}
+	}
+	inBubble(t, func(t *testing.T, x *fleet) {
+		x.all["control-1"].asking = []int{25, 27, 28, 26, 30, 29, 28}
+		x.all["control-1"].accept(1)
+		f, _ := x.follow("entry-1", "control-1")
+		x.network.Remove("control-2")
+		time.Sleep(5 * time.Second)
+		if n := f.State().Load().Entries; n != 65 {
+			t.Fatalf("%d entry hosts", n)
+		}
+	})
+}
+
 // The leader dies and a host that was behind answers first. What is in force must
 // not go back.
 func TestConfigurationNeverGoesBack(t *testing.T) {
@@ -238,17 +319,13 @@
 		next := x.start("control-1", 2)
 		next.source.Hear(time.Now(), announcement("d"))
 		time.Sleep(3 * time.Second)
-		got := make(map[hingeids.ServerID]bool)
-		for _, r := range d.Since(0) {
-			got[r.Announcement.Server] = true
-		}
 		want := map[hingeids.ServerID]bool{
 			"a": true,
 			"b": true,
 			"c": true,
 			"d": true,
 		}
-		if diff := cmp.Diff(want, got); diff != "" {
+		if diff := cmp.Diff(want, d.servers()); diff != "" {
 			t.Fatal(diff)
 		}
 	})
@@ -261,8 +338,12 @@
 		f, _ := x.follow("entry-1", "control-1")
 		time.Sleep(3 * time.Second)
 		x.network.Remove("control-1")
-		x.all["control-2"].standing.Members = []hingeids.HostID{"control-2"}
-		x.all["control-2"].standing.Leader = "control-2"
+		x.all["control-2"].stands(Standing{
+			Leader:  "control-2",
+			Term:    2,
+			Members: []hingeids.HostID{"control-2"},
+			InTouch: true,
+		})
 		f.Reseed([]hingeids.HostID{"control-2"})
 		time.Sleep(40 * time.Second)
 		var got []hingeids.HostID
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -36,13 +36,20 @@
 	Standing() Standing
 }
 
+// Peers is what a control host knows of the others.
+type Peers interface {
+	// ZoneOf gives the zone of a control host, empty if it isn't known.
+	ZoneOf(h hingeids.HostID) hingeids.Zone
+	// Asking gives how many entry hosts ask each of the others.
+	Asking() []int
+}
+
 // Source answers followers, and holds the directory of a control host.
 type Source struct {
 	life   hingeids.Incarnation
 	origin Origin
 	clock  func() time.Time
-	// zones gives the zone of a control host, empty if it isn't known.
-	zones func(hingeids.HostID) hingeids.Zone
+	peers  Peers
 
 	mu        sync.Mutex
 	directory *hingeannounce.Directory
@@ -50,13 +57,12 @@
 	entries   map[hingeids.HostID]time.Time
 }
 
-// NewSource makes the source of a control host and sets its handler. Zones gives the
-// zone of a control host, empty if it isn't known.
+// NewSource makes the source of a control host and sets its handler.
 func NewSource(
-	life hingeids.Life, o Origin, zones func(hingeids.HostID) hingeids.Zone, clock func() time.Time, link hingelink.Link,
+	life hingeids.Life, o Origin, p Peers, clock func() time.Time, link hingelink.Link,
 ) *Source {
 	s := &Source{
-		zones:     zones,
+		peers:     p,
 		life:      life.Incarnation,
 		origin:    o,
 		clock:     clock,
@@ -193,7 +199,8 @@
 	defer s.mu.Unlock()
 	a.Change = s.directory.Change()
 	a.Records = s.directory.Since(q.Change)
-	a.Entries = len(s.entries)
+	a.Asking = len(s.entries)
+	a.Entries = CountEntries(append(s.peers.Asking(), a.Asking))
 	return a
 }
 
@@ -203,7 +210,7 @@
 	for _, h := range members {
 		out = append(out, named{
 			Host: h,
-			Zone: s.zones(h),
+			Zone: s.peers.ZoneOf(h),
 		})
 	}
 	return out
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -106,7 +106,7 @@
 	if c.group, err = c.openGroup(ctx); err != nil {
 		return nil, err
 	}
-	c.source = hingefollow.NewSource(o.Life, c, c.zoneOf, hingeclock.Boot, c.link)
+	c.source = hingefollow.NewSource(o.Life, c, c, hingeclock.Boot, c.link)
 	c.follower = hingefollow.New(hingefollow.Settings{
 		Self:  o.Life.Host,
 		Zone:  o.Zone,
@@ -301,8 +301,8 @@
 	return out
 }
 
-// zoneOf gives the zone of a control host that this one follows, or its own.
-func (c *Control) zoneOf(h hingeids.HostID) hingeids.Zone {
+// ZoneOf gives the zone of a control host that this one follows, or its own.
+func (c *Control) ZoneOf(h hingeids.HostID) hingeids.Zone {
 	if h == c.options.Life.Host {
 		return c.options.Zone
 	}
@@ -314,6 +314,22 @@
 	return ""
 }
 
+// peerSilence is how long a control host that isn't heard any more still counts
+// among those that are asked.
+const peerSilence = 5 * time.Second
+
+// Asking gives how many entry hosts ask each of the other control hosts.
+func (c *Control) Asking() []int {
+	var out []int
+	now := hingeclock.Boot()
+	for _, x := range c.follower.State().Load().Control {
+		if now.Sub(x.HeardAt) < peerSilence {
+			out = append(out, x.Asking)
+		}
+	}
+	return out
+}
+
 // Announce takes what a backend server says of itself.
 func (c *Control) Announce(now time.Time, a hingeannounce.Announcement) {
 	if c.source.Hear(now, a) {
