--- a/internal/path/hingewire/server.go
+++ b/internal/path/hingewire/server.go
@@ -225,6 +225,9 @@
 
 // watch is rule 3. The function that it gives ends the watch.
 func (c *conn) watch(leave context.CancelCauseFunc) func() {
+	// The time that the head had to come in would end the watch with it, and with that
+	// nobody would notice that the caller of a long stream has left.
+	_ = c.raw.SetReadDeadline(time.Time{})
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/path/hingewire/wire_test.go
+++ b/internal/path/hingewire/wire_test.go
@@ -205,6 +205,14 @@
 // A caller gives up while its request waits for an engine. If nobody noticed, the
 // engine would work for nobody.
 func TestCallerThatLeavesIsNoticed(t *testing.T) {
+	// Also after longer than a head may take to come.
+	for _, after := range []time.Duration{20 * time.Millisecond, 1300 * time.Millisecond} {
+		callerLeaves(t, after)
+	}
+}
+
+func callerLeaves(t *testing.T, after time.Duration) {
+	t.Helper()
 	cause := make(chan error, 1)
 	_, at := start(t, func(ctx context.Context, _ *Request, _ *Writer) {
 		select {
@@ -216,10 +224,10 @@
 	})
 	c := dial(t, at)
 	write(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(after)
 	_ = c.Close()
 	if err := <-cause; !errors.Is(err, ErrCallerLeft) {
-		t.Fatal(err)
+		t.Fatalf("left after %v: %v", after, err)
 	}
 }
 
--- a/internal/soak/hingesoak/fleet.go
+++ b/internal/soak/hingesoak/fleet.go
@@ -39,6 +39,7 @@
 	options     Options
 	controls    []*process
 	entries     []*process
+	book        *book
 	controlLost sync.Mutex
 	faults      sync.WaitGroup
 }
@@ -148,14 +149,22 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-// wait waits for the end of a process, and kills it when its time is over.
-func (p *process) wait(most time.Duration) {
+// wait waits for the end of a process, and kills it when its time is over. It reports whether
+// the process ended by itself. The log then has what it was doing.
+func (p *process) wait(most time.Duration) bool {
 	select {
 	case <-p.exited:
+		return true
 	case <-time.After(most):
+	}
+	p.signal(syscall.SIGQUIT)
+	select {
+	case <-p.exited:
+	case <-time.After(time.Second):
 		p.signal(syscall.SIGKILL)
 		<-p.exited
 	}
+	return false
 }
 
 // awaitFaults waits until everything that was done to the processes is over.
--- a/internal/soak/hingesoak/plan.go
+++ b/internal/soak/hingesoak/plan.go
@@ -134,8 +134,11 @@
 			time.Sleep(f.lasts)
 			p.signal(syscall.SIGCONT)
 		case term:
+			time.Sleep(time.Until(p.started.Add(bornTime)))
 			p.signal(syscall.SIGTERM)
-			p.wait(p.settings.Grace + time.Second)
+			if !p.wait(p.settings.Grace) {
+				x.book.broken("ends within its grace", "", p.name)
+			}
 			x.restart(p)
 		default:
 			p.signal(syscall.SIGKILL)
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -95,6 +95,7 @@
 		book:    newBook(time.Now()),
 	}
 	s.fleet = newFleet(o)
+	s.fleet.book = s.book
 	defer s.fleet.end()
 	if err := s.fleet.startAll(); err != nil {
 		return Report{}, err
