Number reports by the time of day, which outlasts a machine's restart

The boot clock may begin at nothing after a loss of power; reports would then be passed over as old until the leader changes.

--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -86,8 +86,9 @@
 		streams:  make(map[hingefleet.StreamID]*Stream),
 		silent:   make(map[hingeids.HostID]time.Time),
 		missed:   make(map[hingeids.HostID]int),
-		// A new placer must hear of all streams; an old number would be passed over.
-		sequence: uint64(clock().UnixNano()),
+		// A report with an older number is passed over, so a process goes on above its last
+		// life. The boot clock wouldn't do: it begins anew when the machine does.
+		sequence: uint64(time.Now().UnixNano()),
 	}
 	o.alone = New(ownShare{
 		self:   self,
