Stamp a fleet's log lines with the time of day, and drop a field that was a constant

The recorder of a fleet's process now stamps by itself. Test red before (a line of 1970). The watch on a silent engine kept its wait in a field that was always the same.

--- a/internal/observe/hingeevents/events.go
+++ b/internal/observe/hingeevents/events.go
@@ -97,6 +97,8 @@
 type Recorder struct {
 	life hingeids.Life
 	sink func(Event)
+	// today is the time of day, where those who record go by another clock.
+	today func() time.Time
 
 	mu    sync.Mutex
 	last  Stamp
@@ -117,10 +119,13 @@
 }
 
 // NewRecorderTo makes a recorder whose events go to a sink, all of them, in
-// place of the log.
-func NewRecorderTo(life hingeids.Life, sink func(Event)) *Recorder {
+// place of the log. They are stamped with the time of day that today gives: parts that go by
+// the boot clock hand in times that lie before every other stamp, and all their
+// events would seem to happen at the moment of the one before.
+func NewRecorderTo(life hingeids.Life, sink func(Event), today func() time.Time) *Recorder {
 	r := NewRecorder(life)
 	r.sink = sink
+	r.today = today
 	return r
 }
 
@@ -129,6 +134,9 @@
 	if r == nil {
 		return
 	}
+	if r.today != nil {
+		now = r.today()
+	}
 	e := r.keep(now, n, f)
 	if r.sink != nil {
 		r.sink(e)
--- a/internal/observe/hingelines/lines_test.go
+++ b/internal/observe/hingelines/lines_test.go
@@ -36,12 +36,14 @@
 	w := New(out)
 	r := hingeevents.NewRecorderTo(hingeids.Life{
 		Host: "entry-1",
-	}, w.Take)
+	}, w.Take, time.Now)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() {
 		_ = w.Run(ctx)
 	}()
-	r.Record(time.Now(), hingeevents.RequestGivenUp, hingeevents.Fields{
+	// Whoever records may go by the boot clock; the line has the time of day.
+	began := time.Now()
+	r.Record(time.Unix(40, 0), hingeevents.RequestGivenUp, hingeevents.Fields{
 		Asked: "request-7",
 		Took:  1500 * time.Microsecond,
 	})
@@ -59,6 +61,9 @@
 	if err := json.Unmarshal([]byte(out.lines()[0]), &got); err != nil {
 		t.Fatal(err)
 	}
+	if got.At.Before(began.Truncate(time.Microsecond)) || got.At.After(time.Now()) {
+		t.Fatalf("the line is of %v", got.At)
+	}
 	if got.Name != "requestGivenUp" || got.By != "entry-1" || got.TookMs != 1.5 || got.Fields.Asked != "request-7" {
 		t.Fatalf("%+v", got)
 	}
--- a/internal/path/hingeproxy/silence.go
+++ b/internal/path/hingeproxy/silence.go
@@ -7,9 +7,7 @@
 // watchSilence ends an exchange that has gone silent, if another engine may go on
 // with the stream. If none may, a silent engine is still the caller's best chance.
 func (p *Proxy) watchSilence(r *run, stop func()) *silence {
-	s := &silence{
-		wait: stallTime,
-	}
+	s := &silence{}
 	mayMove := r.route.MayRepeat() && r.runs+1 < r.route.Attempts
 	s.timer = time.AfterFunc(stallTime, func() {
 		if mayMove && p.reserve(r.job) {
@@ -36,11 +34,10 @@
 // silence is the watch on an exchange.
 type silence struct {
 	timer *time.Timer
-	wait  time.Duration
 }
 
 func (s *silence) moved() {
-	s.timer.Reset(s.wait)
+	s.timer.Reset(stallTime)
 }
 
 func (s *silence) end() {
