Keep a restarted engine's address when its old life is found silent

Cause: of two servers at one address the one whose record had changed last got it, usable or not. An engine that crashes is back under a new id after two seconds, its old life is found silent after four, and that news took the address from the new life until the tombstone was dropped ten minutes later. Ruled out: refused orders (one was carried out late), heartbeats that were lost. Change: only servers that may be used compete for an address, and the one that became known last has it. Tests: two in hingeworld, both red before.

--- a/internal/membership/hingeannounce/directory.go
+++ b/internal/membership/hingeannounce/directory.go
@@ -37,7 +37,9 @@
 	record  Record
 	heardAt time.Time
 	change  uint64
-	gaps    Gaps
+	// first is the number of the change with which the server became known.
+	first uint64
+	gaps  Gaps
 }
 
 // NewDirectory makes the empty directory of a host.
@@ -148,6 +150,7 @@
 	}
 	d.records[r.Announcement.Server] = k
 	d.note(k)
+	k.first = k.change
 }
 
 func (d *Directory) note(k *kept) {
@@ -180,7 +183,8 @@
 	return d.change
 }
 
-// Since gives the records that changed after a change, oldest change first.
+// Since gives the records that changed after a change, in the order in which
+// their servers became known: of two servers at one address the later is the one that is there.
 func (d *Directory) Since(change uint64) []Record {
 	var list []*kept
 	for _, k := range d.records {
@@ -189,7 +193,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *kept) int {
-		return cmp.Compare(a.change, b.change)
+		return cmp.Compare(a.first, b.first)
 	})
 	out := make([]Record, 0, len(list))
 	for _, k := range list {
--- a/internal/membership/hingeworld/world.go
+++ b/internal/membership/hingeworld/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
@@ -22,7 +23,8 @@
 	addresses map[hingeids.ServerID]string
 }
 
-// Build makes a world. The table may be nil.
+// Build makes a world of a table, which may be nil, and of records in the order in
+// which their servers became known.
 func Build(t *hingeroutes.Table, records []hingeannounce.Record) *World {
 	w := &World{
 		table:     t,
@@ -37,22 +39,19 @@
 }
 
 // usable gives the records of servers that may be used, by name. Of two at one
-// address the one heard of last has it: the other has ended without a word.
+// address, the one that became known last has it: the other has ended without a word, and is
+// found silent only later, or never if a heartbeat of it was held up. The later one would be
+// left without work if that news of the earlier one took the address from it.
 func usable(records []hingeannounce.Record) []hingeannounce.Record {
-	holder := make(map[string]hingeids.ServerID, len(records))
+	holder := make(map[string]hingeannounce.Record, len(records))
 	for _, r := range records {
-		holder[r.Announcement.Address] = r.Announcement.Server
-	}
-	var out []hingeannounce.Record
-	for _, r := range records {
-		if r.Usable() && holder[r.Announcement.Address] == r.Announcement.Server {
-			out = append(out, r)
+		if r.Usable() {
+			holder[r.Announcement.Address] = r
 		}
 	}
-	slices.SortFunc(out, func(a, b hingeannounce.Record) int {
+	return slices.SortedFunc(maps.Values(holder), func(a, b hingeannounce.Record) int {
 		return cmp.Compare(a.Announcement.Server, b.Announcement.Server)
 	})
-	return out
 }
 
 func (w *World) add(a hingeannounce.Announcement) {
--- /dev/null
+++ b/internal/membership/hingeworld/world_test.go
@@ -0,0 +1,79 @@
+package hingeworld
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
+)
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const fleetService = hingeids.Service("redacteur")
+
+// beat is a heartbeat of an engine at the one address of these tests.
+func beat(id hingeids.ServerID, sequence uint64) hingeannounce.Announcement {
+	return hingeannounce.Announcement{
+		Server:      id,
+		Incarnation: 1,
+		Sequence:    sequence,
+		Kind:        hingeannounce.Decode,
+		Zone:        "cancale",
+		Address:     "10.0.0.1:80",
+		Service:     fleetService,
+	}
+}
+
+// used names the engines that streams may be placed on.
+func used(d *hingeannounce.Directory) []hingeids.ServerID {
+	var out []hingeids.ServerID
+	for _, e := range Build(nil, d.Since(0)).Engines()[fleetService] {
+		out = append(out, e.Server)
+	}
+	return out
+}
+
+// An engine crashes and is restarted at its address within two seconds, under a new
+// name. Its old life is found silent only after the new one has announced itself. If that
+// news took the address away from the new life, a healthy engine would get no work until
+// the old one is forgotten, ten minutes later, and callers would be refused meanwhile.
+func TestRestartedEngineIsUsedAfterItsOldLifeIsFoundSilent(t *testing.T) {
+	d := hingeannounce.NewDirectory("control-1")
+	now := began
+	for i := range uint64(10) {
+		now = now.Add(time.Second)
+		d.Hear(now, beat("engine-before", i))
+	}
+	restarted := now.Add(2 * time.Second)
+	d.Hear(restarted, beat("engine-after", 0))
+	for i := range uint64(40) {
+		now = restarted.Add(time.Duration(i) * 250 * time.Millisecond)
+		if i%4 == 0 {
+			d.Hear(now, beat("engine-after", i+1))
+		}
+		d.Step(now)
+		if diff := cmp.Diff([]hingeids.ServerID{"engine-after"}, used(d)); diff != "" {
+			t.Fatalf("%v after the restart: %s", now.Sub(restarted), diff)
+		}
+	}
+}
+
+// The same engine's last heartbeat was held up behind a cut and comes after its
+// successor's first. It would bring the old life back, and requests for it
+// would be turned away by the new one.
+func TestHeldUpHeartbeatDoesNotTakeTheAddressBack(t *testing.T) {
+	d := hingeannounce.NewDirectory("control-1")
+	d.Hear(began, beat("engine-before", 1))
+	d.Hear(began.Add(2*time.Second), beat("engine-after", 0))
+	d.Hear(began.Add(3*time.Second), beat("engine-before", 2))
+	d.Merge(began.Add(3*time.Second), hingeannounce.Record{
+		Announcement: beat("engine-before", 3),
+		Owner:        "control-2",
+	})
+	if diff := cmp.Diff([]hingeids.ServerID{"engine-after"}, used(d)); diff != "" {
+		t.Fatal(diff)
+	}
+}
