Try an engine that was away with one stream, doubt the zone of one that can't be reached, and learn how fast engines prefill

An engine that prefills and turns slow, or one whose transfers do, went on getting its share: prefill was believed to take the same everywhere, and a refusal for want of room to be over after 300 ms. Change: health (hingefleet rule 6): one stream on trial until an answer has begun; an unreached engine casts doubt on its zone; refusals in a row double the pause. prompts: the work of engines that prefill, with their pace learned from the ends that owners report. Tests: slow prefill engine, trial, doubt and repeated refusals, all red before by construction of the old interface (no outcome for a begun answer).

--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -72,6 +72,8 @@
 	Service hingeids.Service   `cbor:"1,keyasint"`
 	Server  hingeids.ServerID  `cbor:"2,keyasint"`
 	Outcome hingefleet.Outcome `cbor:"3,keyasint,omitempty"`
+	// Stream is what it was asked for.
+	Stream hingefleet.StreamID `cbor:"4,keyasint,omitempty"`
 }
 
 // report is all that an owner says of its streams.
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -206,6 +206,16 @@
 	return s
 }
 
+// Note tells the placer how an engine did with the stream.
+func (s *Stream) Note(server hingeids.ServerID, o hingefleet.Outcome) {
+	s.owner.tell(Note{
+		Service: s.service,
+		Server:  server,
+		Outcome: o,
+		Stream:  s.progress.ID,
+	})
+}
+
 // Made notes how many tokens have come.
 func (s *Stream) Made(t hingeids.Tokens) {
 	o := s.owner
@@ -227,8 +237,7 @@
 	o.changed()
 }
 
-// Tell reports how an engine did.
-func (o *Owner) Tell(n Note) {
+func (o *Owner) tell(n Note) {
 	o.mu.Lock()
 	o.notes = append(o.notes, n)
 	o.mu.Unlock()
--- a/internal/decide/hingefleet/demand.go
+++ b/internal/decide/hingefleet/demand.go
@@ -38,17 +38,22 @@
 
 func (d *demand) fade(now time.Time) {
 	if passed := now.Sub(d.at); passed > 0 {
-		keep := math.Exp(-passed.Seconds() / demandTime.Seconds())
+		keep := fading(passed, demandTime)
 		d.prompts *= keep
 		d.held *= keep
 		d.at = now
 	}
 }
 
+// fading is what is left of an average that fades over a span, after some time.
+func fading(passed, span time.Duration) float64 {
+	return math.Exp(-passed.Seconds() / span.Seconds())
+}
+
 // Demand gives what has come lately. It is zero until enough has come to tell.
 func (f *Fleet) Demand(now time.Time) Demand {
 	f.demand.fade(now)
-	span := min(now.Sub(f.demand.since), demandTime).Seconds()
+	span := min(now.Sub(f.demand.since), demandTime)
 	memory := 0.0
 	for _, e := range f.engines {
 		if e.Role == Decode {
@@ -59,7 +64,7 @@
 		return Demand{}
 	}
 	// An average that fades holds what came within its time, less of it while it is young.
-	full := demandTime.Seconds() * (1 - math.Exp(-span/demandTime.Seconds()))
+	full := demandTime.Seconds() * (1 - fading(span, demandTime))
 	if now.Sub(f.demand.since) > 3*demandTime {
 		full = demandTime.Seconds()
 	}
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -26,7 +26,10 @@
 //     much arrives as drains, late wants never get a turn before new ones; to let them
 //     wait would only use up the time that their callers have to come back.
 //  6. An engine that can't be reached, or fails a good part of what it is sent, is
-//     left alone for a while, doubled each time in a row. Single failures come from
+//     left alone for a while, doubled each time in a row, and then tried with one stream
+//     until it has begun to answer: to all that waits it looks like the emptiest of all. One that
+//     can't be reached casts doubt on its whole zone, of which each engine is
+//     tried so. Single failures come from
 //     good engines too, and to leave those alone would take a sixth of the memory
 //     away for one lost answer. One that is far slower than the others gets work
 //     only if no other has room.
@@ -39,7 +42,6 @@
 import (
 	"time"
 
-	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -123,6 +125,7 @@
 // stream is a stream in flight.
 type stream struct {
 	owner    hingeids.HostID
+	prefill  hingeids.ServerID
 	decode   hingeids.ServerID
 	prompt   hingeids.Tokens
 	expected hingeids.Tokens
@@ -138,13 +141,8 @@
 	Engine
 	// tokensPerSecond is the pace of one stream, learned from reports.
 	tokensPerSecond float64
-	// freeAt is when the prefill work handed out so far is done.
-	freeAt time.Time
-	// failing is the share of failures of late; leaves counts how often in a row
-	// it was left alone, awayTill until when (rule 6).
-	failing  float64
-	leaves   int
-	awayTill time.Time
+	prompts         prompts
+	health          health
 }
 
 const (
@@ -154,8 +152,6 @@
 	// paceWeight is the weight of a new reading of the pace. One reading spans
 	// half a second; five of them move the pace to two thirds of a change.
 	paceWeight = 0.2
-	// prefillPace is the prompt tokens that a prefill engine reads a second.
-	prefillPace = 55000
 	// prefillStart is the time from a grant to the first token beside the reading:
 	// two round trips, the transfer and the first step.
 	prefillStart = 30 * time.Millisecond
@@ -166,17 +162,6 @@
 	// report. A live one reports twice a second; a dead one's connections to its engines
 	// are closed by then.
 	ownerSilence = 2500 * time.Millisecond
-	// firstAway is how long an engine is left alone at first, longestAway after
-	// many times: one that restarts is back within seconds.
-	firstAway   = time.Second
-	longestAway = 8 * time.Second
-	// fullAway is the same for one that refused for want of room: streams end every
-	// few hundred milliseconds.
-	fullAway = 300 * time.Millisecond
-	// failWeight is the weight of a new outcome in the share of failures, failLimit the
-	// share from which an engine is left alone: two failures in a row, or four of ten.
-	failWeight = 0.25
-	failLimit  = 0.4
 )
 
 // Fleet is the engines of one service and the streams on them.
@@ -212,6 +197,7 @@
 		if k == nil {
 			k = &engine{
 				tokensPerSecond: startPace,
+				prompts:         newPrompts(),
 			}
 		}
 		k.Engine = e
@@ -229,14 +215,25 @@
 	}
 	for id, s := range f.streams {
 		if s.owner == owner && !listed[id] && s.granted.IsZero() {
-			delete(f.streams, id)
+			f.forget(id)
 		}
 	}
 }
 
+// forget drops a stream and what it has waiting at an engine that prefills.
+func (f *Fleet) forget(id StreamID) {
+	if s := f.streams[id]; s != nil {
+		if e := f.engines[s.prefill]; e != nil {
+			e.prompts.drop(id)
+		}
+	}
+	delete(f.streams, id)
+}
+
 func (f *Fleet) progress(now time.Time, owner hingeids.HostID, p Progress) {
 	s := f.streams[p.ID]
 	if s == nil || s.decode != p.Decode {
+		f.forget(p.ID)
 		s = &stream{
 			madeAt: now,
 		}
@@ -251,6 +248,9 @@
 	s.expected = p.Expected
 	s.granted = time.Time{}
 	if p.Made > 0 {
+		if e := f.engines[s.prefill]; e != nil {
+			e.prompts.drop(p.ID)
+		}
 		s.made = p.Made
 		s.madeAt = now
 	}
@@ -267,7 +267,7 @@
 
 // Cancel forgets a stream or a want whose caller is gone.
 func (f *Fleet) Cancel(id StreamID) {
-	delete(f.streams, id)
+	f.forget(id)
 	for i, w := range f.queue {
 		if w.ID == id {
 			f.queue = append(f.queue[:i], f.queue[i+1:]...)
@@ -276,52 +276,6 @@
 	}
 }
 
-// Outcome is how an engine did what it was asked.
-type Outcome uint8
-
-// Worked is what was asked; Failed is none or a broken answer; Full is a refusal
-// for want of room; Unreached is no connection, or another server at the address.
-const (
-	Worked Outcome = iota
-	Failed
-	Full
-	Unreached
-)
-
-// Note takes how an engine did (rule 6).
-func (f *Fleet) Note(now time.Time, id hingeids.ServerID, o Outcome) {
-	e := f.engines[id]
-	if e == nil {
-		return
-	}
-	switch o {
-	case Worked:
-		e.failing -= failWeight * e.failing
-		if now.After(e.awayTill) {
-			e.leaves = 0
-		}
-	case Full:
-		e.awayTill = hingeclock.Later(e.awayTill, now.Add(fullAway))
-	case Unreached:
-		e.leave(now)
-	case Failed:
-		e.failing += failWeight * (1 - e.failing)
-		if e.failing > failLimit {
-			e.leave(now)
-		}
-	}
-}
-
-func (e *engine) leave(now time.Time) {
-	if now.Before(e.awayTill) {
-		// What fails together is one failure of the engine.
-		return
-	}
-	e.awayTill = now.Add(min(firstAway<<min(e.leaves, 4), longestAway))
-	e.leaves++
-	e.failing = 0
-}
-
 // Streams counts the streams believed to be in flight, Waiting the wants.
 func (f *Fleet) Streams() int {
 	return len(f.streams)
--- a/internal/decide/hingefleet/fleet_test.go
+++ b/internal/decide/hingefleet/fleet_test.go
@@ -122,6 +122,21 @@
 	want(t, o, "failed", o.Failed, 0, 0.05)
 }
 
+// One of three engines that prefill turns slow, five times, while its heartbeats say that it is
+// well. Prompts handed out in turn would have every third caller wait half a second and more
+// for his first event, and those behind it longer.
+func TestSlowPrefillEngineGetsLittle(t *testing.T) {
+	o := mean(loadPattern{
+		lasts:        30 * time.Second,
+		perSec:       steady,
+		prefills:     3,
+		decodes:      6,
+		slowPrefills: 1,
+	}, fleetOf)
+	t.Logf("%+v", o)
+	want(t, o, "on time", o.OnTime, 0.97, 1)
+}
+
 // Every engine loses one answer in twenty. If each loss took its engine away for a
 // second or more, six engines would serve like two, and callers would be refused by a
 // fleet that idles.
@@ -250,9 +265,9 @@
 		f := New()
 		f.SetEngines(engines())
 		for _, o := range outcomes {
-			f.Note(now, "decode-1", o)
+			f.Note(now, "decode-1", o, "")
 		}
-		return max(f.engines["decode-1"].awayTill.Sub(now), 0)
+		return max(f.engines["decode-1"].health.awayTill.Sub(now), 0)
 	}
 	got := []time.Duration{
 		away(Failed),
@@ -267,6 +282,96 @@
 	}
 }
 
+// An engine couldn't be reached for a second. It looks like the emptiest of all then, and whatever
+// waits would go there at once; if it is still dark, each of those callers loses a fifth of a
+// second and all go elsewhere together.
+func TestEngineThatWasAwayIsTriedWithOneStream(t *testing.T) {
+	f := New()
+	now := simStart
+	list := engines()
+	list[2].Zone = "another"
+	list[2].Memory = 100_000
+	f.SetEngines(list)
+	f.Note(now, "decode-2", Unreached, "")
+	now = now.Add(firstAway)
+	granted := func(ids ...StreamID) int {
+		for _, id := range ids {
+			w := wantOf(id, now)
+			w.Zone = "another"
+			f.Offer(now, w)
+		}
+		n := 0
+		for _, d := range f.Step(now) {
+			if d.Grant.Decode == "decode-2" {
+				n++
+			}
+		}
+		return n
+	}
+	got := []int{granted("a", "b", "c")}
+	now = now.Add(trialTime / 2)
+	f.Note(now, "decode-2", Begun, "a")
+	got = append(got, granted("d", "e"))
+	if diff := cmp.Diff([]int{1, 2}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// A zone is cut off with two of four decode engines. What one stream finds out
+// counts for the other engine too: it gets one stream, not a share of all.
+func TestUnreachedEngineCastsDoubtOnItsZone(t *testing.T) {
+	f := New()
+	now := simStart
+	var list []Engine
+	for i := range 5 {
+		e := engines()[1]
+		e.Server = hingeids.ServerID(fmt.Sprint("decode-", i))
+		e.Zone = hingeids.Zone(fmt.Sprint(i % 2))
+		e.Memory = 100_000
+		if i == 4 {
+			e.Role = Prefill
+		}
+		list = append(list, e)
+	}
+	f.SetEngines(list)
+	f.Note(now, "decode-1", Unreached, "")
+	inZone := 0
+	for i := range 8 {
+		f.Offer(now, wantOf(StreamID(fmt.Sprint(i)), now))
+		for _, d := range f.Step(now) {
+			if d.Grant.Decode == "decode-3" {
+				inZone++
+			}
+		}
+		f.Note(now, "decode-4", Worked, StreamID(fmt.Sprint(i)))
+	}
+	if inZone != 1 {
+		t.Fatalf("%d streams went to the doubted engine, want 1", inZone)
+	}
+}
+
+// An engine's transfers have turned slow: it refuses each KV cache after a wait of most of a
+// second. Three streams a second would go on finding that out.
+func TestEngineThatRefusesAgainAndAgainIsLeftLonger(t *testing.T) {
+	f := New()
+	f.SetEngines(engines())
+	now := simStart
+	var got []time.Duration
+	for range 5 {
+		f.Note(now, "decode-1", Full, "")
+		away := f.engines["decode-1"].health.awayTill.Sub(now)
+		got = append(got, away)
+		now = now.Add(away)
+	}
+	f.Note(now, "decode-1", Begun, "")
+	f.Note(now, "decode-1", Full, "")
+	got = append(got, f.engines["decode-1"].health.awayTill.Sub(now))
+	want := []time.Duration{fullAway, 2 * fullAway, 4 * fullAway, longestFull, longestFull, fullAway}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // A prompt's KV cache is there for half a second. The engine it was meant for can't
 // be reached; another takes it, or the caller hears at once that none can.
 func TestCachedWantIsDecidedAtOnce(t *testing.T) {
@@ -399,7 +504,7 @@
 	f := New()
 	now := simStart
 	f.SetEngines(engines())
-	f.Note(now, "prefill", Unreached)
+	f.Note(now, "prefill", Unreached, "")
 	f.Offer(now, wantOf("a", now))
 	d := f.Step(now)
 	if len(d) != 1 || d[0].Refused || d[0].Grant.Prefill != "" {
--- /dev/null
+++ b/internal/decide/hingefleet/health.go
@@ -0,0 +1,127 @@
+package hingefleet
+
+import (
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
+
+const (
+	// firstAway is how long an engine is left alone at first, longestAway after
+	// many times: one that restarts is back within seconds.
+	firstAway   = time.Second
+	longestAway = 8 * time.Second
+	// fullAway is the same for one that refused for want of room: streams end every
+	// few hundred milliseconds. It doubles with each refusal in a row, up to longestFull:
+	// an engine whose transfers have turned slow refuses for as long as that lasts.
+	fullAway    = 300 * time.Millisecond
+	longestFull = 2400 * time.Millisecond
+	// failWeight is the weight of a new outcome in the share of failures, failLimit the
+	// share from which an engine is left alone: two failures in a row, or four of ten.
+	failWeight = 0.25
+	failLimit  = 0.4
+	// trialTime is how long the one stream that tries an engine may take to show whether it
+	// answers, before another may: its prompt is read and its first event is there in half of it.
+	trialTime = time.Second
+)
+
+// Outcome is how an engine did what it was asked.
+type Outcome uint8
+
+// Worked is what was asked; Failed is none or a broken answer; Full is a refusal
+// for want of room; Unreached is no connection, or another server at the address; Begun
+// says that an answer has begun, whatever becomes of it.
+const (
+	Worked Outcome = iota
+	Failed
+	Full
+	Unreached
+	Begun
+)
+
+// health is what is believed of how an engine does (rule 6).
+type health struct {
+	// failing is the share of failures of late.
+	failing float64
+	// leaves counts how often in a row it was left alone, awayTill until when.
+	leaves   int
+	awayTill time.Time
+	// fulls counts the refusals for want of room in a row.
+	fulls int
+	// doubted says that nothing has shown since that it can be reached; triedAt is
+	// when a stream was last sent to show it.
+	doubted bool
+	triedAt time.Time
+}
+
+// usable reports whether an engine may get a stream.
+func (h *health) usable(now time.Time) bool {
+	return !now.Before(h.awayTill) && (!h.doubted || now.Sub(h.triedAt) > trialTime)
+}
+
+// Note takes how an engine did with a stream.
+func (f *Fleet) Note(now time.Time, server hingeids.ServerID, o Outcome, id StreamID) {
+	e := f.engines[server]
+	if e == nil {
+		return
+	}
+	if e.Role == Prefill {
+		e.prompts.done(now, id, o == Worked)
+	}
+	e.health.note(now, o)
+	if o == Unreached {
+		f.doubt(e.Zone)
+	}
+}
+
+// doubt has each engine of a zone tried before it gets more than one stream. When a zone is
+// cut off, a dozen streams would otherwise find out for each of its engines, again and again, and
+// each waits a fifth of a second for a connection. Where the zone is well after all, it costs
+// each engine the streams of a tenth of a second.
+func (f *Fleet) doubt(zone hingeids.Zone) {
+	for _, e := range f.engines {
+		if e.Zone == zone {
+			e.health.doubted = true
+		}
+	}
+}
+
+func (h *health) note(now time.Time, o Outcome) {
+	switch o {
+	case Worked:
+		h.failing -= failWeight * h.failing
+		if now.After(h.awayTill) {
+			h.leaves = 0
+		}
+		h.reached()
+	case Begun:
+		h.reached()
+	case Full:
+		h.awayTill = hingeclock.Later(h.awayTill, now.Add(min(fullAway<<min(h.fulls, 4), longestFull)))
+		h.fulls++
+	case Unreached:
+		h.leave(now)
+	case Failed:
+		h.failing += failWeight * (1 - h.failing)
+		if h.failing > failLimit {
+			h.leave(now)
+		}
+	}
+}
+
+func (h *health) reached() {
+	h.fulls = 0
+	h.doubted = false
+}
+
+func (h *health) leave(now time.Time) {
+	if now.Before(h.awayTill) {
+		// What fails together is one failure of the engine.
+		return
+	}
+	h.awayTill = now.Add(min(firstAway<<min(h.leaves, 4), longestAway))
+	h.leaves++
+	h.failing = 0
+	h.doubted = true
+}
--- /dev/null
+++ b/internal/decide/hingefleet/prompts.go
@@ -0,0 +1,125 @@
+package hingefleet
+
+import (
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
+
+const (
+	// prefillPace is the prompt tokens that an engine reads a second, before anything was learned.
+	prefillPace = 55000
+	// readWeight is the weight of a new reading of that pace: three prompts move it to two thirds
+	// of a change, which is a third of a second at half load.
+	readWeight = 0.3
+	// paceFades is the time in which an engine that gets no prompts is again taken to be
+	// as fast as the others, by two thirds: one that was slow would otherwise never be tried.
+	paceFades = 3 * time.Second
+	// leastService is the shortest time between two ends that says something of the pace:
+	// notes of several prompts come together.
+	leastService = 10 * time.Millisecond
+	// slowest and fastest bound a reading: one stalled prompt doesn't look like an hour's work,
+	// and two ends that were told of together not like none.
+	slowest = prefillPace / 20
+	fastest = prefillPace * 1.5
+	// handOver is what a prompt that comes to an idle engine takes beside its reading: the grant's way to
+	// its owner, a connection, and the note's way back.
+	handOver = 20 * time.Millisecond
+	// unread is how long a prompt counts as waiting without a word of its end.
+	unread = 3 * time.Second
+)
+
+// prompts is the work of an engine that prefills, as far as it was handed out here.
+type prompts struct {
+	waiting map[StreamID]prompt
+	// pace is the tokens that it reads a second, learnedAt when that was last seen.
+	pace      float64
+	learnedAt time.Time
+	// endedAt is when the last prompt's end was heard of.
+	endedAt time.Time
+}
+
+// prompt is one that waits or is being read.
+type prompt struct {
+	tokens hingeids.Tokens
+	since  time.Time
+}
+
+func newPrompts() prompts {
+	return prompts{
+		waiting: make(map[StreamID]prompt),
+		pace:    prefillPace,
+	}
+}
+
+func (q *prompts) add(now time.Time, id StreamID, t hingeids.Tokens) {
+	q.waiting[id] = prompt{
+		tokens: t,
+		since:  now,
+	}
+}
+
+func (q *prompts) drop(id StreamID) {
+	delete(q.waiting, id)
+}
+
+// done takes the end of a prompt. Prompts are read one after the other, so what passed
+// since the end before, or since this one came to an idle engine, is what it took.
+func (q *prompts) done(now time.Time, id StreamID, read bool) {
+	p, there := q.waiting[id]
+	if !there {
+		return
+	}
+	delete(q.waiting, id)
+	took := now.Sub(hingeclock.Later(q.endedAt, p.since.Add(handOver)))
+	q.endedAt = now
+	if !read || took < leastService {
+		return
+	}
+	q.pace = q.paceAt(now)
+	reading := min(max(float64(p.tokens)/took.Seconds(), slowest), fastest)
+	q.pace += readWeight * (reading - q.pace)
+	q.learnedAt = now
+}
+
+// paceAt is the pace as far as it is still believed.
+func (q *prompts) paceAt(now time.Time) float64 {
+	believed := 1.0
+	if passed := now.Sub(q.learnedAt); passed > 0 {
+		believed = fading(passed, paceFades)
+	}
+	return prefillPace + believed*(q.pace-prefillPace)
+}
+
+// backlog is how long the engine still reads at what it has, if it keeps its pace. The word of
+// an end may be late or lost, so what should be read by now counts for nothing.
+func (q *prompts) backlog(now time.Time) time.Duration {
+	sum := hingeids.Tokens(0)
+	began := now
+	for id, p := range q.waiting {
+		if now.Sub(p.since) > unread {
+			delete(q.waiting, id)
+			continue
+		}
+		sum += p.tokens
+		if p.since.Before(began) {
+			began = p.since
+		}
+	}
+	return max(q.reading(now, sum)-now.Sub(hingeclock.Later(began, q.endedAt)), 0)
+}
+
+// reading is how long the engine takes to read so many tokens.
+func (q *prompts) reading(now time.Time, t hingeids.Tokens) time.Duration {
+	return spanOf(float64(t) / q.paceAt(now))
+}
+
+// reading is how long an engine of the usual pace reads a prompt.
+func reading(t hingeids.Tokens) time.Duration {
+	return spanOf(float64(t) / prefillPace)
+}
+
+func spanOf(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -76,12 +75,12 @@
 	for id, s := range f.streams {
 		if !s.granted.IsZero() {
 			if now.Sub(s.granted) > unreported {
-				delete(f.streams, id)
+				f.forget(id)
 			}
 			continue
 		}
 		if now.Sub(f.owners[s.owner]) > ownerSilence {
-			delete(f.streams, id)
+			f.forget(id)
 		}
 	}
 	for owner, at := range f.owners {
@@ -175,7 +174,7 @@
 func (f *Fleet) rates(now time.Time) rates {
 	var r rates
 	for _, s := range f.streams {
-		if e := f.engines[s.decode]; e != nil && !now.Before(e.awayTill) {
+		if e := f.engines[s.decode]; e != nil && !now.Before(e.health.awayTill) {
 			r.drain += e.tokensPerSecond / float64(max(s.expected, 1))
 		}
 	}
@@ -202,7 +201,7 @@
 	if perSecond <= 0 {
 		return longestRetry
 	}
-	return time.Duration(min(ends/perSecond, longestRetry.Seconds()) * float64(time.Second))
+	return spanOf(min(ends/perSecond, longestRetry.Seconds()))
 }
 
 func (f *Fleet) grant(now time.Time, w *Want) (Decision, bool) {
@@ -221,14 +220,7 @@
 		if !ok {
 			return Decision{}, false
 		}
-		f.streams[w.ID] = &stream{
-			owner:    w.Owner,
-			decode:   r.engine.Server,
-			prompt:   w.Prompt,
-			expected: w.Expected,
-			madeAt:   begins,
-			granted:  now,
-		}
+		f.take(now, w, r.engine, g, begins)
 		return Decision{
 			ID:     w.ID,
 			Owner:  w.Owner,
@@ -266,6 +258,25 @@
 	return false
 }
 
+// take notes a grant in the engines' books.
+func (f *Fleet) take(now time.Time, w *Want, decode *engine, g Grant, begins time.Time) {
+	f.forget(w.ID)
+	f.streams[w.ID] = &stream{
+		owner:    w.Owner,
+		prefill:  g.Prefill,
+		decode:   decode.Server,
+		prompt:   w.Prompt,
+		expected: w.Expected,
+		madeAt:   begins,
+		granted:  now,
+	}
+	decode.health.triedAt = now
+	if p := f.engines[g.Prefill]; p != nil {
+		p.health.triedAt = now
+		p.prompts.add(now, w.ID, w.Prompt)
+	}
+}
+
 // prepare chooses the prefill engine for a decode engine, and predicts the first token.
 func (f *Fleet) prepare(now time.Time, w *Want, decode *engine) (Grant, time.Time, bool) {
 	g := Grant{
@@ -274,14 +285,13 @@
 	if w.Cached {
 		return g, now.Add(prefillStart), true
 	}
-	p := f.prefillFor(now, w, decode.Zone)
+	p, read := f.prefillFor(now, w, decode.Zone)
 	if p == nil && !f.prefills(now, w) {
 		return g, now.Add(ownReading*reading(w.Prompt) + prefillStart), true
 	}
 	if p == nil {
 		return Grant{}, time.Time{}, false
 	}
-	p.freeAt = hingeclock.Later(now, p.freeAt).Add(reading(w.Prompt))
 	g.Prefill = p.Server
-	return g, p.freeAt.Add(prefillStart), true
+	return g, read.Add(prefillStart), true
 }
--- a/internal/decide/hingefleet/room.go
+++ b/internal/decide/hingefleet/room.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -89,7 +88,7 @@
 	}
 	var out []room
 	for _, e := range f.engines {
-		if e.Role != Decode || now.Before(e.awayTill) || slices.Contains(w.Avoid, e.Server) {
+		if e.Role != Decode || !e.health.usable(now) || slices.Contains(w.Avoid, e.Server) {
 			continue
 		}
 		share, streams := f.predict(now, e, w)
@@ -138,21 +137,22 @@
 	return float64(peak(list)) / float64(max(e.Memory, 1)), streams
 }
 
-// prefillFor gives the prefill engine that is free first, one of the zone of
+// prefillFor gives the engine that will have read the prompt first, one of the zone of
 // the decode engine if they are alike: a transfer between zones takes twice as long.
 // None is given if all have work for a while: what waits there holds decode
 // memory for nothing, and can't be overtaken any more by what is more urgent.
-func (f *Fleet) prefillFor(now time.Time, w *Want, zone hingeids.Zone) *engine {
+func (f *Fleet) prefillFor(now time.Time, w *Want, zone hingeids.Zone) (*engine, time.Time) {
 	var best *engine
 	var bestAt time.Time
 	for _, e := range f.engines {
-		if e.Role != Prefill || now.Before(e.awayTill) || slices.Contains(w.Avoid, e.Server) {
+		if e.Role != Prefill || !e.health.usable(now) || slices.Contains(w.Avoid, e.Server) {
 			continue
 		}
-		at := hingeclock.Later(now, e.freeAt)
-		if at.Sub(now) > mostBacklog {
+		backlog := e.prompts.backlog(now)
+		if backlog > mostBacklog {
 			continue
 		}
+		at := now.Add(backlog + e.prompts.reading(now, w.Prompt))
 		if e.Zone != zone {
 			at = at.Add(otherZone)
 		}
@@ -160,7 +160,7 @@
 			best, bestAt = e, at
 		}
 	}
-	return best
+	return best, bestAt
 }
 
 // otherZone is the wait that a transfer within the zone is worth: a tenth of a
@@ -175,7 +175,7 @@
 // work is done.
 func (f *Fleet) prefills(now time.Time, w *Want) bool {
 	for _, e := range f.engines {
-		if e.Role == Prefill && !now.Before(e.awayTill) && !slices.Contains(w.Avoid, e.Server) {
+		if e.Role == Prefill && e.health.usable(now) && !slices.Contains(w.Avoid, e.Server) {
 			return true
 		}
 	}
@@ -184,8 +184,3 @@
 
 // ownReading is how many times longer a decode engine reads a prompt than one that prefills.
 const ownReading = 2
-
-// reading is how long a prefill engine reads a prompt.
-func reading(t hingeids.Tokens) time.Duration {
-	return time.Duration(float64(t) / prefillPace * float64(time.Second))
-}
--- a/internal/decide/hingefleet/sim_test.go
+++ b/internal/decide/hingefleet/sim_test.go
@@ -26,6 +26,8 @@
 	simPrompt   = 5200.0
 	simAnswer   = 5040.0
 	simSpread   = 0.5
+	// simReads is how many times faster an engine reads a prompt than it makes a token.
+	simReads = 55000 / simPace
 )
 
 var simStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -39,6 +41,8 @@
 	length   float64
 	made     float64
 	decode   hingeids.ServerID
+	prefill  hingeids.ServerID
+	readAt   time.Time
 	beginsAt time.Time
 	first    time.Time
 	// started orders streams for preemption, the newest first.
@@ -67,7 +71,7 @@
 	offer(now time.Time, w Want)
 	step(now time.Time) []Decision
 	report(now time.Time, list []Progress)
-	note(now time.Time, id hingeids.ServerID, o Outcome)
+	note(now time.Time, id hingeids.ServerID, o Outcome, stream StreamID)
 }
 
 // ours is the way of this package.
@@ -78,8 +82,8 @@
 func (o ours) offer(now time.Time, w Want)           { o.Offer(now, w) }
 func (o ours) step(now time.Time) []Decision         { return o.Step(now) }
 func (o ours) report(now time.Time, list []Progress) { o.Report(now, "entry", list) }
-func (o ours) note(now time.Time, id hingeids.ServerID, x Outcome) {
-	o.Note(now, id, x)
+func (o ours) note(now time.Time, id hingeids.ServerID, x Outcome, stream StreamID) {
+	o.Note(now, id, x, stream)
 }
 
 // leastStreams is the way that it is compared with: at once to the engine with the fewest
@@ -134,7 +138,7 @@
 	}
 }
 
-func (l *leastStreams) note(time.Time, hingeids.ServerID, Outcome) {}
+func (l *leastStreams) note(time.Time, hingeids.ServerID, Outcome, StreamID) {}
 
 // load is a pattern of demand.
 type loadPattern struct {
@@ -142,8 +146,9 @@
 	perSec   func(t time.Duration) float64
 	prefills int
 	decodes  int
-	// slow is how many decode engines run at a fifth of the pace.
-	slow int
+	// slow is how many decode engines run at a fifth of the pace, slowPrefills how many others do.
+	slow         int
+	slowPrefills int
 	// failing is the share of streams that every decode engine fails.
 	failing float64
 	// noHints says that callers give hints that are worth nothing.
@@ -188,13 +193,17 @@
 		engines: make(map[hingeids.ServerID]*simEngine),
 		asked:   make(map[StreamID]*simStream),
 	}
-	slow := p.slow
+	slow, slowPrefills := p.slow, p.slowPrefills
 	for _, e := range list {
 		x := &simEngine{
 			id:   e.Server,
 			role: e.Role,
 			pace: simPace,
 		}
+		if e.Role == Prefill && slowPrefills > 0 {
+			x.pace /= 5
+			slowPrefills--
+		}
 		if e.Role == Decode {
 			x.failing = p.failing
 			if slow > 0 {
@@ -235,6 +244,7 @@
 		for _, d := range s.way.step(now) {
 			s.take(now, d)
 		}
+		s.tellRead(now)
 		for _, id := range s.order {
 			s.run(now, s.engines[id])
 		}
@@ -283,7 +293,9 @@
 		return
 	}
 	p := s.engines[d.Grant.Prefill]
-	p.freeAt = hingeclock.Later(now, p.freeAt).Add(time.Duration(x.prompt / 55000 * float64(time.Second)))
+	p.freeAt = hingeclock.Later(now.Add(10*time.Millisecond), p.freeAt).Add(spanOf(x.prompt / p.pace / simReads))
+	x.prefill = p.id
+	x.readAt = p.freeAt
 	x.beginsAt = p.freeAt.Add(20 * time.Millisecond)
 	x.decode = d.Grant.Decode
 	s.started++
@@ -292,6 +304,18 @@
 	e.streams = append(e.streams, x)
 }
 
+// tellRead tells of the prompts that were read since the step before.
+func (s *sim) tellRead(now time.Time) {
+	for _, id := range s.order {
+		for _, x := range s.engines[id].streams {
+			if !x.readAt.IsZero() && !now.Before(x.readAt) {
+				x.readAt = time.Time{}
+				s.way.note(now, x.prefill, Worked, x.id)
+			}
+		}
+	}
+}
+
 func (s *sim) run(now time.Time, e *simEngine) {
 	held := 0.0
 	kept := e.streams[:0]
@@ -302,7 +326,7 @@
 		}
 		if x.first.IsZero() {
 			if s.random.Float64() < e.failing {
-				s.way.note(now, e.id, Failed)
+				s.way.note(now, e.id, Failed, x.id)
 				s.got.Failed++
 				delete(s.asked, x.id)
 				continue
@@ -337,7 +361,7 @@
 
 func (s *sim) end(now time.Time, e *simEngine, x *simStream) {
 	delete(s.asked, x.id)
-	s.way.note(now, e.id, Worked)
+	s.way.note(now, e.id, Worked, x.id)
 	switch {
 	case now.Sub(x.arrived) > simDeadline || x.first.Sub(x.arrived) > simPatience:
 		s.got.Failed++
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -9,6 +9,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
 )
@@ -80,6 +81,10 @@
 	err := r.relay.pass(a.x, r.writer, func(events int) {
 		watch.moved()
 		now := p.settings.Clock()
+		if r.begunAt != at.Decode {
+			r.begunAt = at.Decode
+			at.stream.Note(at.Decode, hingefleet.Begun)
+		}
 		if events == 1 {
 			r.relay.firstAt = now
 			p.settings.Recorder.Record(now, hingeevents.RequestFirstToken, hingeevents.Fields{
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -40,6 +40,8 @@
 	avoid  []hingeids.ServerID
 	// waitsSince is when the caller got its last event, or asked.
 	waitsSince time.Time
+	// begunAt is the engine that sent an event last.
+	begunAt hingeids.ServerID
 	// moved says that an engine broke off.
 	moved bool
 }
@@ -151,22 +153,21 @@
 	}
 	if err != nil {
 		ahead.close()
-		p.blame(r, placed.Prefill, err)
+		p.blame(r, placed, placed.Prefill, err)
 		return err
 	}
+	if placed.Prefill != "" {
+		placed.stream.Note(placed.Prefill, hingefleet.Worked)
+	}
 	done := p.settings.Clock()
 	for {
 		err = p.decode(ctx, r, placed, ahead, cache)
 		if err == nil {
-			p.owner.Tell(hingeplacer.Note{
-				Service: r.service,
-				Server:  placed.Decode,
-				Outcome: hingefleet.Worked,
-			})
+			placed.stream.Note(placed.Decode, hingefleet.Worked)
 			return nil
 		}
 		if context.Cause(ctx) == nil {
-			p.blame(r, placed.Decode, err)
+			p.blame(r, placed, placed.Decode, err)
 		}
 		if cache == (Cache{}) || err.Code != hingeverdict.CodeNoServer || p.settings.Clock().Sub(done) > r.engine.HandleTime/2 || ctx.Err() != nil {
 			break
@@ -217,7 +218,7 @@
 }
 
 // blame keeps the rest of a request, and for a while other requests, away from an engine.
-func (p *Proxy) blame(r *run, id hingeids.ServerID, err *hingeverdict.Error) {
+func (p *Proxy) blame(r *run, at placement, id hingeids.ServerID, err *hingeverdict.Error) {
 	r.avoid = append(slices.Clip(r.avoid), id)
 	now := p.settings.Clock()
 	p.settings.Recorder.Record(now, hingeevents.ServerFailedRequest, hingeevents.Fields{
@@ -229,11 +230,7 @@
 	if err.Code == hingeverdict.CodeDeadline {
 		return
 	}
-	p.owner.Tell(hingeplacer.Note{
-		Service: r.service,
-		Server:  id,
-		Outcome: outcomeAt(err),
-	})
+	at.stream.Note(id, outcomeAt(err))
 }
 
 // outcomeAt is what a failure says of the engine.
