Count the ends of prefills, and let decode engines work a prompt that would else be late

Logs of what it believed: 13 prompts waiting, counted as 250 ms. The end of a prefill and the first event come in one report, and the event dropped the prompt before its end was counted, so that no pace was learned; and time that passed counted as work done, whether or not an end was heard of. Change: notes are taken before the progress they belong to; of the time since the last end only one prompt's reading counts. A want whose prompt no engine that prefills can read in time goes, at the last moment, to a decode engine with room, if the pause for its streams stays within their target. Logs say how long a prefill took and the longest pause of a stream. Tests: two, both red before (9 prompts where 4 fit; 20 of 20 prompts to the slow engine).

--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -33,6 +33,8 @@
 	Avoid  []hingeids.ServerID `cbor:"10,keyasint,omitempty"`
 	// Zone is the owner's availability zone.
 	Zone hingeids.Zone `cbor:"12,keyasint,omitempty"`
+	// Gap is the longest pause between events that counts as on time; zero if any does.
+	Gap time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 func (w Want) wanted(now time.Time, owner hingeids.HostID) hingefleet.Want {
@@ -44,6 +46,7 @@
 		Expected: w.Expected,
 		Arrived:  now.Add(-w.Waited),
 		Target:   w.Target,
+		Gap:      w.Gap,
 		Patience: w.Patience,
 		Deadline: now.Add(w.Left),
 		Moved:    w.Moved,
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -253,12 +253,13 @@
 	for s := range r.Streams {
 		p.fleet(s)
 	}
-	for s, f := range p.fleets {
-		f.Report(now, owner, r.Streams[s])
-	}
+	// What a note says of a stream is lost once a report says that the stream is further.
 	for _, n := range r.Notes {
 		p.fleet(n.Service).Note(now, n.Note)
 	}
+	for s, f := range p.fleets {
+		f.Report(now, owner, r.Streams[s])
+	}
 }
 
 // step decides on what waits, and gives how many still do.
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -123,7 +123,11 @@
 	if a.Refused || a.NotHere {
 		return a, nil
 	}
-	return a, b.owners[owner].Begin(w, a)
+	s := b.owners[owner].Begin(w, a)
+	time.AfterFunc(100*time.Millisecond, func() {
+		s.Note(a.Prefill, hingefleet.Worked)
+	})
+	return a, s
 }
 
 // Two entry hosts place at the same time. Each sees only its own streams; the placer sees
@@ -263,3 +267,67 @@
 		}
 	})
 }
+
+// slowPrefill is two engines that prefill, alike as far as announcements say, and one that decodes.
+type slowPrefill struct{}
+
+func (slowPrefill) Engines() map[hingeids.Service][]hingefleet.Engine {
+	list := engines{}.Engines()["model"]
+	second := list[0]
+	second.Server = "a-slow-prefill"
+	decode := list[1]
+	decode.Memory = 1_000_000
+	return map[hingeids.Service][]hingefleet.Engine{
+		"model": {list[0], second, decode},
+	}
+}
+
+// The end of a prefill and the first event that follows it within milliseconds come in one report. If the event
+// hid the end, nobody would learn that the engine is slow, and it would go on getting half
+// of all prompts.
+func TestEndOfPrefillCountsBesideItsFirstEvent(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	p := New(slowPrefill{}, func() bool {
+		return true
+	}, nil)
+	p.step(now)
+	now = now.Add(warmUp)
+	counts := make(map[hingeids.ServerID]int)
+	var r report
+	for i := range 20 {
+		w := want(fmt.Sprint(i))
+		answer := make(chan Placement, 1)
+		p.offer(now, "entry-1", w, answer)
+		p.step(now)
+		a := <-answer
+		took := 90 * time.Millisecond
+		if a.Prefill == "a-slow-prefill" {
+			took = 900 * time.Millisecond
+		}
+		counts[a.Prefill]++
+		now = now.Add(took)
+		r.Sequence++
+		r.Streams = map[hingeids.Service][]hingefleet.Progress{
+			"model": {
+				{
+					ID:     w.ID,
+					Decode: a.Decode,
+					Made:   70,
+				},
+			},
+		}
+		r.Notes = []note{
+			{
+				Service: "model",
+				Note: hingefleet.Note{
+					Server: a.Prefill,
+					Stream: w.ID,
+				},
+			},
+		}
+		p.take(now, "entry-1", r)
+	}
+	if counts["a-slow-prefill"] > 3 {
+		t.Fatalf("the slow engine got %d of 20 prompts", counts["a-slow-prefill"])
+	}
+}
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -33,8 +33,10 @@
 //     good engines too, and to leave those alone would take a sixth of the memory
 //     away for one lost answer. One that is far slower than the others gets work
 //     only if no other has room.
-//  7. Where no engine that prefills can be reached, a decode engine works the prompt
-//     itself, at half the pace: a zone that is cut off has engines of one role only, as often as not.
+//  7. Where no engine that prefills can be reached, or none in time, a decode engine works
+//     the prompt itself, at half the pace: a zone that is cut off has engines of one role only, as
+//     often as not. Its streams pause meanwhile, so that a prompt whose reading would make them late
+//     goes only where there are none.
 //  8. What is believed of streams comes from the hosts that own them; between two
 //     reports a stream is taken to go on at its engine's pace.
 package hingefleet
@@ -79,6 +81,8 @@
 	// Arrived is when the caller's request came, Target the time to its first event.
 	Arrived time.Time
 	Target  time.Duration
+	// Gap is the longest pause between two events that counts as on time; zero if any does.
+	Gap time.Duration
 	// Patience is how long after Arrived the caller waits for a first event.
 	Patience time.Duration
 	Deadline time.Time
@@ -143,6 +147,8 @@
 	tokensPerSecond float64
 	prompts         prompts
 	health          health
+	// readAt is when a decode engine was given a prompt to work last.
+	readAt time.Time
 }
 
 const (
--- a/internal/decide/hingefleet/fleet_test.go
+++ b/internal/decide/hingefleet/fleet_test.go
@@ -497,6 +497,10 @@
 		if zones[d[0].Grant.Decode] == w.Zone {
 			inZone++
 		}
+		f.Note(now.Add(90*time.Millisecond), Note{
+			Server: d[0].Grant.Prefill,
+			Stream: w.ID,
+		})
 	}
 	if inZone < asked*4/5 {
 		t.Fatalf("%d of %d streams are in their zone", inZone, asked)
@@ -517,9 +521,40 @@
 		w := wantOf(StreamID(fmt.Sprint(i)), now)
 		w.Zone = "0"
 		f.Offer(now, w)
-		if d := f.Step(now); len(d) != 1 || d[0].Refused {
+		d := f.Step(now)
+		if len(d) != 1 || d[0].Refused {
 			t.Fatalf("stream %d isn't granted: %+v", i, d)
 		}
+		f.Note(now.Add(90*time.Millisecond), Note{
+			Server: d[0].Grant.Prefill,
+			Stream: w.ID,
+		})
+	}
+}
+
+// An engine that prefills has become slow, or others use it too, and what it was handed isn't
+// read when it should be. If that was taken for read, more and more would be handed to it: a queue of
+// a dozen prompts, each first event late by a second, while wants wait that could go first.
+func TestPromptsThatAreNotReadCountAsWork(t *testing.T) {
+	f := New()
+	now := simStart
+	list := engines()
+	list[1].Memory = 1_000_000
+	list[1].Slots = 100
+	f.SetEngines(list)
+	granted := 0
+	for i := range 12 {
+		f.Offer(now, wantOf(StreamID(fmt.Sprint(i)), now))
+		for _, d := range f.Step(now) {
+			if d.Grant.Prefill != "" {
+				granted++
+			}
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	// The backlog of 200 ms that an engine may have, and one prompt that is taken to be read by now.
+	if most := 4; granted > most {
+		t.Fatalf("%d prompts were handed to an engine that has ended none, want %d at most", granted, most)
 	}
 }
 
--- a/internal/decide/hingefleet/prompts.go
+++ b/internal/decide/hingefleet/prompts.go
@@ -92,22 +92,25 @@
 	return prefillPace + believed*(q.pace-prefillPace)
 }
 
-// backlog is how long the engine still reads at what it has, if it keeps its pace. The word of
-// an end may be late or lost, so what should be read by now counts for nothing.
+// backlog is how long the engine still reads at what it has. Of the time since its last end only as
+// much counts as its oldest prompt takes: if it were further, an end would have been heard of.
 func (q *prompts) backlog(now time.Time) time.Duration {
 	sum := hingeids.Tokens(0)
-	began := now
+	oldest := prompt{
+		since: now,
+	}
 	for id, p := range q.waiting {
 		if now.Sub(p.since) > unread {
 			delete(q.waiting, id)
 			continue
 		}
 		sum += p.tokens
-		if p.since.Before(began) {
-			began = p.since
+		if p.since.Before(oldest.since) {
+			oldest = p
 		}
 	}
-	return max(q.reading(now, sum)-now.Sub(hingeclock.Later(began, q.endedAt)), 0)
+	at := now.Sub(hingeclock.Later(oldest.since, q.endedAt))
+	return q.reading(now, sum) - min(at, q.reading(now, oldest.tokens))
 }
 
 // reading is how long the engine takes to read so many tokens.
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -117,6 +117,14 @@
 	return !now.Add(reading(w.Prompt) + prefillStart).After(w.Arrived.Add(w.Target))
 }
 
+// lastCall reports whether a want can still be on time if a decode engine works its prompt, but
+// not for much longer.
+func (w *Want) lastCall(now time.Time) bool {
+	takes := ownReading*reading(w.Prompt) + prefillStart
+	left := w.Arrived.Add(w.Target).Sub(now.Add(takes))
+	return !w.Moved && left > 0 && left < lastCallTime
+}
+
 // decide grants, refuses, or lets wait behind as many others (rule 5).
 func (f *Fleet) decide(now time.Time, w *Want, ahead int, r rates) (Decision, bool) {
 	if d, granted := f.grant(now, w); granted {
@@ -271,6 +279,9 @@
 		granted:  now,
 	}
 	decode.health.triedAt = now
+	if g.Prefill == "" && !w.Cached {
+		decode.readAt = now
+	}
 	if p := f.engines[g.Prefill]; p != nil {
 		p.health.triedAt = now
 		p.prompts.add(now, w.ID, w.Prompt)
@@ -286,12 +297,29 @@
 		return g, now.Add(prefillStart), true
 	}
 	p, read := f.prefillFor(now, w, decode.Zone)
-	if p == nil && !f.prefills(now, w) {
+	switch {
+	case p != nil:
+		g.Prefill = p.Server
+		return g, read.Add(prefillStart), true
+	case f.mayRead(now, w, decode) && (w.lastCall(now) || !f.prefills(now, w)):
 		return g, now.Add(ownReading*reading(w.Prompt) + prefillStart), true
 	}
-	if p == nil {
-		return Grant{}, time.Time{}, false
+	return Grant{}, time.Time{}, false
+}
+
+// mayRead reports whether a decode engine may work a prompt between the tokens of its
+// streams (rule 7).
+func (f *Fleet) mayRead(now time.Time, w *Want, decode *engine) bool {
+	if now.Sub(decode.readAt) < readRest {
+		return false
+	}
+	if w.Gap == 0 || ownReading*reading(w.Prompt)+ownPause < w.Gap {
+		return true
+	}
+	for _, s := range f.streams {
+		if s.decode == decode.Server {
+			return false
+		}
 	}
-	g.Prefill = p.Server
-	return g, read.Add(prefillStart), true
+	return true
 }
--- a/internal/decide/hingefleet/room.go
+++ b/internal/decide/hingefleet/room.go
@@ -184,3 +184,15 @@
 
 // ownReading is how many times longer a decode engine reads a prompt than one that prefills.
 const ownReading = 2
+
+const (
+	// lastCallTime is how long before it would be late a want whose prompt no engine can read yet is
+	// given to a decode engine that has room.
+	lastCallTime = 100 * time.Millisecond
+	// readRest is how long a decode engine that works a prompt isn't given another: its streams
+	// pause meanwhile, for a fifth of a second for a prompt of the mean size.
+	readRest = 400 * time.Millisecond
+	// ownPause is the time between two events at an engine that works no prompt: 72 tokens of
+	// 0.75 ms each, and its way.
+	ownPause = 60 * time.Millisecond
+)
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"github.com/rotisserie/eris"
@@ -81,16 +82,17 @@
 	err := r.relay.pass(a.x, r.writer, func(events int) {
 		watch.moved()
 		now := p.settings.Clock()
+		r.relay.passed(now)
 		if r.begunAt != at.Decode {
 			r.begunAt = at.Decode
 			at.stream.Note(at.Decode, hingefleet.Begun)
 		}
 		if events == 1 {
-			r.relay.firstAt = now
 			p.settings.Recorder.Record(now, hingeevents.RequestFirstToken, hingeevents.Fields{
 				Asked:  string(r.asked.ID),
 				Server: at.Decode,
 				Took:   now.Sub(r.Arrived),
+				Detail: fmt.Sprintf("prefill took %d ms", r.read.Milliseconds()),
 			})
 		}
 		at.stream.Made(hingeids.Tokens(events) * r.engine.EventTokens)
--- a/internal/path/hingeproxy/relay.go
+++ b/internal/path/hingeproxy/relay.go
@@ -20,13 +20,26 @@
 type relay struct {
 	// last is the id of the last event that the caller has.
 	last string
-	// events counts those passed on, firstAt is when the first came.
+	// events counts those passed on, firstAt and lastAt are when the first and the last came, and
+	// pause is the longest time between two.
 	events  int
 	firstAt time.Time
+	lastAt  time.Time
+	pause   time.Duration
 	// begun says that the head of the answer was passed on.
 	begun bool
 }
 
+// passed notes the time of an event that was passed on.
+func (y *relay) passed(now time.Time) {
+	if y.firstAt.IsZero() {
+		y.firstAt = now
+	} else {
+		y.pause = max(y.pause, now.Sub(y.lastAt))
+	}
+	y.lastAt = now
+}
+
 // errGap is a stream with an event missing.
 var errGap = eris.New("an event is missing in the stream")
 
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -40,6 +40,8 @@
 	avoid  []hingeids.ServerID
 	// waitsSince is when the caller got its last event, or asked.
 	waitsSince time.Time
+	// read is how long the prompt was with the engine that prefilled it.
+	read time.Duration
 	// begunAt is the engine that sent an event last.
 	begunAt hingeids.ServerID
 	// moved says that an engine broke off.
@@ -84,9 +86,10 @@
 	now := p.settings.Clock()
 	p.meter.streamed(now.Sub(r.Arrived), r.relay.firstAt.Sub(r.Arrived))
 	p.settings.Recorder.Record(now, hingeevents.RequestAnswered, hingeevents.Fields{
-		Asked: string(r.asked.ID),
-		Took:  now.Sub(r.Arrived),
-		Count: int64(r.relay.events),
+		Asked:  string(r.asked.ID),
+		Took:   now.Sub(r.Arrived),
+		Count:  int64(r.relay.events),
+		Detail: fmt.Sprintf("longest pause %d ms", r.relay.pause.Milliseconds()),
 	})
 }
 
@@ -118,6 +121,7 @@
 		Expected: max(expected(r.asked, r.engine)-made, r.engine.EventTokens),
 		Waited:   waited,
 		Target:   r.route.Target,
+		Gap:      r.route.GapTarget,
 		Patience: min(r.route.Patience, waited+p.left(r.job)),
 		Left:     p.left(r.job),
 		Moved:    r.moved,
@@ -148,6 +152,7 @@
 	}()
 	ahead := p.dialAhead(ctx, placed.Decode)
 	var cache Cache
+	placedAt := p.settings.Clock()
 	if placed.Prefill != "" {
 		cache, err = p.prefill(ctx, r, placed.Prefill)
 	}
@@ -160,6 +165,7 @@
 		placed.stream.Note(placed.Prefill, hingefleet.Worked)
 	}
 	done := p.settings.Clock()
+	r.read = done.Sub(placedAt)
 	for {
 		err = p.decode(ctx, r, placed, ahead, cache)
 		if err == nil {
