--- a/internal/decide/hingefleet/sim_test.go
+++ b/internal/decide/hingefleet/sim_test.go
@@ -82,7 +82,7 @@
 func (o ours) offer(now time.Time, w Want)           { o.Offer(now, w) }
 func (o ours) step(now time.Time) []Decision         { return o.Step(now) }
 func (o ours) report(now time.Time, list []Progress) { o.Report(now, "entry", list) }
-func (o ours) note(now time.Time, n Note)            { o.Fleet.Note(now, n) }
+func (o ours) note(now time.Time, n Note)            { o.Note(now, n) }
 
 // leastStreams is the way that it is compared with: at once to the engine with the fewest
 // streams, up to its slots, as a host does that counts slots and not memory.
