Count what arrives at servers against the budget of repeats, and hand a refused KV cache to another engine

Cause: a repeat took one from the budget, whatever it was. A stream that moves sends its prompt and its run again, two arrivals, and was charged one. Change: costs: as many arrivals as there were beyond the first prompt and run, so nothing for a request that reached nobody; a decode engine that refuses has not taken the KV cache, so another gets it within half of its time; hosts use 0.75 of the budget (0.5 before, at half the price), and begin with half of what they may save up, since killed processes all begin anew. Tests: three in hingeproxy, red with one arrival for each repeat and without the transfer; two lines in hingeretry.

--- a/internal/decide/hingeretry/budget.go
+++ b/internal/decide/hingeretry/budget.go
@@ -29,7 +29,7 @@
 	perSecond  = 0.1
 )
 
-// NewBudget makes a full budget with the limits of a host on its own.
+// NewBudget makes a budget with the limits of a host on its own.
 func NewBudget(now time.Time) *Budget {
 	return NewBudgetOf(now, Limits{
 		PerRequest: perRequest,
@@ -38,11 +38,16 @@
 	})
 }
 
-// NewBudgetOf makes a full budget.
+// startShare is the part of its burst that a budget begins with: when half of the fleet's processes are
+// killed they all begin anew, some having spent theirs, and the fleet's budget would be
+// spent one and a half times.
+const startShare = 0.5
+
+// NewBudgetOf makes a budget that holds half of its burst.
 func NewBudgetOf(now time.Time, l Limits) *Budget {
 	return &Budget{
 		limits: l,
-		tokens: l.Burst,
+		tokens: startShare * l.Burst,
 		last:   now,
 	}
 }
@@ -59,15 +64,15 @@
 	b.tokens = min(b.limits.Burst, b.tokens+b.limits.PerRequest)
 }
 
-// Take takes one repeat, if there is one.
-func (b *Budget) Take(now time.Time) bool {
+// Take takes the arrivals at servers that a repeat adds, if there are as many.
+func (b *Budget) Take(now time.Time, arrivals int) bool {
 	if passed := now.Sub(b.last); passed > 0 {
 		b.tokens = min(b.limits.Burst, b.tokens+b.limits.PerSecond*passed.Seconds())
 		b.last = now
 	}
-	if b.tokens < 1 {
+	if b.tokens < float64(arrivals) {
 		return false
 	}
-	b.tokens--
+	b.tokens -= float64(arrivals)
 	return true
 }
--- a/internal/decide/hingeretry/retry.go
+++ b/internal/decide/hingeretry/retry.go
@@ -55,7 +55,9 @@
 	// Attempts counts the attempts made, this one included, and Resumes the
 	// times that this attempt was resumed.
 	Attempts, Resumes int
-	NeverRepeat       bool
+	// Arrivals is how many messages to servers a repeat adds to those that the request is allowed.
+	Arrivals    int
+	NeverRepeat bool
 	// Sent counts the tokens that the caller already has.
 	Sent hingeids.Tokens
 	// SameLife says that the engine is there, in the life in which it took the
@@ -97,7 +99,7 @@
 	if !mayRepeat(f) || f.Attempts >= mostAttempts || now.Add(f.RepeatTime).After(f.Deadline) {
 		return answer(f)
 	}
-	if !b.Take(now) {
+	if !b.Take(now, f.Arrivals) {
 		return answer(f)
 	}
 	next := Repeat
@@ -169,5 +171,5 @@
 	if now.Add(w.HedgeTime).After(w.FirstTokenBy) {
 		return false
 	}
-	return b.Take(now)
+	return b.Take(now, 1)
 }
--- a/internal/decide/hingeretry/retry_test.go
+++ b/internal/decide/hingeretry/retry_test.go
@@ -54,6 +54,7 @@
 		Err:          hingeverdict.New(verdicts[words[0]], hingeverdict.CodeServerFailed, 0, nil),
 		Before:       verdicts[words[1]],
 		Attempts:     1,
+		Arrivals:     1,
 		Sent:         17,
 		TransferTime: 200 * time.Millisecond,
 		RepeatTime:   10 * time.Second,
@@ -68,6 +69,8 @@
 			f.NeverRepeat = true
 		case "sameLife":
 			f.SameLife = true
+		case "arrivals":
+			f.Arrivals = n
 		case "resumes":
 			f.Resumes = n
 		case "attempts":
--- a/internal/path/hingedispatch/attempt.go
+++ b/internal/path/hingedispatch/attempt.go
@@ -46,6 +46,7 @@
 		Err:          v,
 		Before:       a.before,
 		Attempts:     a.attempts,
+		Arrivals:     1,
 		Resumes:      a.resumes,
 		NeverRepeat:  a.work.Class.NeverRepeat,
 		Sent:         a.sent(),
--- a/internal/path/hingeproxy/budget.go
+++ b/internal/path/hingeproxy/budget.go
@@ -7,13 +7,12 @@
 )
 
 const (
-	// ownShare is the part of the fleet's budget that hosts use, so that
-	// a wrong count of hosts or an uneven load doesn't break it.
-	ownShare = 0.5
-	// leastBurst lets every host repeat one request, however many hosts there are. A stream's
-	// repeat is a prefill and a run, so that two each of 74 hosts would be more than
-	// the fleet may save up.
-	leastBurst = 1.0
+	// ownShare is the part of the fleet's budget that hosts use: what is left covers a wrong count of
+	// hosts, processes that begin anew, and messages that cross.
+	ownShare = 0.75
+	// leastBurst lets every host repeat one stream, however many hosts there are: its
+	// prompt and its run arrive once more.
+	leastBurst = 2.0
 )
 
 // limits is this host's part of the budget. Hosts share the burst evenly and
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -64,6 +64,7 @@
 	watch := p.watchSilence(r, a.stop)
 	defer watch.end()
 	r.attempts++
+	r.arrivals++
 	if err := a.x.Send(r.sent(p.dialect, Sending{
 		Server: at.Decode,
 		Left:   p.left(r.job),
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -174,8 +174,13 @@
 	// ran is the most that any attempt may have done, runs how many may have run.
 	ran  hingeverdict.Verdict
 	runs int
-	// attempts counts the times that the request was handed to a server.
+	// attempts counts the times that the request was handed to a server; arrivals also those
+	// that only had its prompt read, and paid is how many of these the budget has given.
 	attempts int
+	arrivals int
+	paid     int
+	// free counts the repeats that cost the budget nothing.
+	free int
 	// reserved says that the budget has given the next repeat already.
 	reserved bool
 }
--- a/internal/path/hingeproxy/proxy_test.go
+++ b/internal/path/hingeproxy/proxy_test.go
@@ -494,3 +494,62 @@
 		t.Fatalf("moved %v, waits %v of %v", w.Moved, w.Waited, w.Patience)
 	}
 }
+
+// An availability zone is cut off with the engine that prefills and many streams find out at once. A
+// request that has reached nobody adds nothing to any engine's load, so no budget may keep it
+// from the engines that can be reached.
+func TestUnreachedEngineCostsNoBudget(t *testing.T) {
+	gone := newStandin(t, "a-prefill", hingefleet.Prefill, nil)
+	_ = gone.listener.Close()
+	d := newDoor(t, gone, newStandin(t, "prefill", hingefleet.Prefill, nil), newStandin(t, "decode", hingefleet.Decode, nil))
+	d.spend("model")
+	if g := d.ask("/dossier/7"); g.Status != http.StatusOK || !g.Whole {
+		t.Fatalf("status %d: %q", g.Status, g.Body)
+	}
+}
+
+// An engine has no room for a KV cache that was made for it. The cache is still kept: another
+// engine takes it, and the prompt isn't worked twice for it.
+func TestRefusedCacheIsTakenByAnotherEngine(t *testing.T) {
+	d, p, a, b := fleet(t, nil, nil)
+	refuseFirst := func(other *standin) behaviour {
+		return func(_ int, _ *http.Request, c net.Conn) bool {
+			if other.ran() > 0 {
+				return false
+			}
+			refuse(c, http.StatusServiceUnavailable)
+			return true
+		}
+	}
+	a.behave, b.behave = refuseFirst(b), refuseFirst(a)
+	if g := d.ask("/dossier/7"); g.Status != http.StatusOK || g.Body != wholeStream() {
+		t.Fatalf("status %d: %q", g.Status, g.Body)
+	}
+	if p.ran() != 1 {
+		t.Fatalf("the prompt was worked %d times", p.ran())
+	}
+}
+
+// A decode engine dies with half of an answer. Going on elsewhere sends the prompt and the run once
+// more, two arrivals. Counted as one, a fleet would spend twice the budget that it was given.
+func TestMovedStreamCostsTwoArrivals(t *testing.T) {
+	d, _, a, b := fleet(t, nil, nil)
+	dies := func(other *standin) behaviour {
+		return func(_ int, q *http.Request, c net.Conn) bool {
+			if other.ran() > 0 {
+				return false
+			}
+			beginStream(c, q)
+			events(c, 1, 2, false)
+			return true
+		}
+	}
+	a.behave, b.behave = dies(b), dies(a)
+	before := d.budgetLeft("model")
+	if g := d.ask("/dossier/7"); g.Body != wholeStream() {
+		t.Fatalf("status %d: %q", g.Status, g.Body)
+	}
+	if spent := before - d.budgetLeft("model"); spent != 2 {
+		t.Fatalf("%d arrivals were taken from the budget, want 2", spent)
+	}
+}
--- a/internal/path/hingeproxy/silence.go
+++ b/internal/path/hingeproxy/silence.go
@@ -21,12 +21,11 @@
 
 // reserve takes a repeat from the budget for a stream that is about to be moved.
 func (p *Proxy) reserve(j *job) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.settings.Clock()
-	if j.deadline.Sub(now) < stallTime || !p.budget(j.service).Take(now) {
+	if j.deadline.Sub(p.settings.Clock()) < stallTime || !p.take(j, j.costs()) {
 		return false
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	j.reserved = true
 	return true
 }
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -372,6 +372,26 @@
 	}
 }
 
+// spend takes all that the budget of a service has.
+func (d *door) spend(s hingeids.Service) {
+	d.proxy.mu.Lock()
+	defer d.proxy.mu.Unlock()
+	for d.proxy.budget(s).Take(time.Now(), 1) {
+	}
+}
+
+// budgetLeft counts the arrivals that the budget of a service still has.
+func (d *door) budgetLeft(s hingeids.Service) int {
+	d.proxy.mu.Lock()
+	defer d.proxy.mu.Unlock()
+	b := *d.proxy.budget(s)
+	n := 0
+	for b.Take(time.Now(), 1) {
+		n++
+	}
+	return n
+}
+
 // got is what a caller got.
 type got struct {
 	Status int
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -175,10 +175,10 @@
 		if context.Cause(ctx) == nil {
 			p.blame(r, placed, placed.Decode, err)
 		}
-		if cache == (Cache{}) || err.Code != hingeverdict.CodeNoServer || p.settings.Clock().Sub(done) > r.engine.HandleTime/2 || ctx.Err() != nil {
+		if cache == (Cache{}) || ctx.Err() != nil || p.settings.Clock().Sub(done) > r.engine.HandleTime/2 ||
+			!p.mayTransfer(r, err) {
 			break
 		}
-		// The engine couldn't be reached; another one takes the KV cache while it is kept.
 		next, failed := p.place(ctx, r, true)
 		if failed != nil {
 			break
@@ -193,6 +193,18 @@
 	return err
 }
 
+// mayTransfer decides whether another engine takes the prompt's KV cache, while it is kept. An engine that
+// refused has not taken it; the next one is an arrival that the budget has to give.
+func (p *Proxy) mayTransfer(r *run, err *hingeverdict.Error) bool {
+	switch err.Code {
+	case hingeverdict.CodeNoServer:
+		return true
+	case hingeverdict.CodeServerRefused:
+		return p.take(r.job, 1)
+	}
+	return false
+}
+
 // placement is where a stream goes, with its place in the owner's reports.
 type placement struct {
 	hingeplacer.Placement
@@ -264,6 +276,9 @@
 		Prefill: true,
 		After:   r.relay.last,
 	}))
+	if err == nil || verdictOf(err).Verdict != hingeverdict.NotRun {
+		r.arrivals++
+	}
 	if err != nil {
 		return Cache{}, notRun(verdictOf(err).Code, err)
 	}
