Doubt no zone that was just heard

Cause: each engine that can't be reached cast doubt on its whole zone. Change: an answer from a zone within the 200 ms that a connection takes to time out speaks for the zone. Test: red without the bound.

--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -182,6 +182,8 @@
 	tried   []attempt
 	scratch []load
 	demand  demand
+	// heard is when an engine of each zone was last known to answer.
+	heard map[hingeids.Zone]time.Time
 }
 
 // New makes an empty fleet.
@@ -190,6 +192,7 @@
 		engines: make(map[hingeids.ServerID]*engine),
 		streams: make(map[StreamID]*stream),
 		owners:  make(map[hingeids.HostID]time.Time),
+		heard:   make(map[hingeids.Zone]time.Time),
 	}
 }
 
--- a/internal/decide/hingefleet/fleet_test.go
+++ b/internal/decide/hingefleet/fleet_test.go
@@ -367,6 +367,34 @@
 	}
 }
 
+// Engines of a large zone crash one after the other, while the others go on answering. The zone isn't cut off:
+// its engines must not be held to one stream at a time for as long as some are down.
+func TestCrashedEnginesCastNoDoubtOnAZoneThatAnswers(t *testing.T) {
+	f := New()
+	now := simStart
+	list := engines()
+	for i := range list {
+		list[i].Memory = 1_000_000
+	}
+	f.SetEngines(list)
+	for i := range 3 {
+		f.Offer(now, wantOf(StreamID(fmt.Sprint(i)), now))
+		if d := f.Step(now); len(d) != 1 || d[0].Grant.Prefill == "" || d[0].Grant.Decode == "" {
+			t.Fatalf("stream %d isn't granted: %+v", i, d)
+		}
+		now = now.Add(100 * time.Millisecond)
+		f.Note(now, Note{
+			Server:  "decode-1",
+			Outcome: Begun,
+		})
+		now = now.Add(10 * time.Millisecond)
+		f.Note(now, Note{
+			Server:  "decode-2",
+			Outcome: Unreached,
+		})
+	}
+}
+
 // An engine's transfers have turned slow: it refuses each KV cache after a wait of most of a
 // second. Three streams a second would go on finding that out.
 func TestEngineThatRefusesAgainAndAgainIsLeftLonger(t *testing.T) {
--- a/internal/decide/hingefleet/health.go
+++ b/internal/decide/hingefleet/health.go
@@ -77,16 +77,27 @@
 		e.prompts.done(now, n.Stream, n.Outcome == Worked)
 	}
 	e.health.note(now, n.Outcome)
-	if n.Outcome == Unreached {
-		f.doubt(e.Zone)
+	switch n.Outcome {
+	case Worked, Begun:
+		f.heard[e.Zone] = now
+	case Unreached:
+		f.doubt(now, e.Zone)
 	}
 }
 
-// doubt has each engine of a zone tried before it gets more than one stream. When a zone is
+// doubtless is how long an answer from a zone speaks for the whole of it: what is heard since a connection
+// was begun that then timed out, two tries of 100 ms, shows that the zone isn't cut off.
+const doubtless = 200 * time.Millisecond
+
+// doubt has each engine of a zone tried before it gets more than one stream, unless the zone was just heard. When a zone is
 // cut off, a dozen streams would otherwise find out for each of its engines, again and again, and
 // each waits a fifth of a second for a connection. Where the zone is well after all, it costs
-// each engine the streams of a tenth of a second.
-func (f *Fleet) doubt(zone hingeids.Zone) {
+// each engine the streams of a tenth of a second; but when ten engines of a large zone crash, that
+// would go on for as long as they are down.
+func (f *Fleet) doubt(now time.Time, zone hingeids.Zone) {
+	if now.Sub(f.heard[zone]) < doubtless {
+		return
+	}
 	for _, e := range f.engines {
 		if e.Zone == zone {
 			e.health.doubted = true
