Follow the demand on roles after a second, and wait for engines that haven't announced themselves yet

Cause: (1) the first change of a role came at second 6, in the middle of the first burst: demand was believed after 2.5 s, and had to hold for 3 s. Change: demand is believed after 1.5 s and has to hold for one; a fleet that has known engines for less than 1.5 s lets wait what can still be on time, and tells others to come back after about that time. Test: a fleet that has just begun, red before.

--- a/internal/decide/hingefleet/demand.go
+++ b/internal/decide/hingefleet/demand.go
@@ -60,7 +60,7 @@
 			memory = max(memory, float64(e.Memory))
 		}
 	}
-	if f.demand.since.IsZero() || now.Sub(f.demand.since) < demandTime/2 || memory == 0 {
+	if f.demand.since.IsZero() || now.Sub(f.demand.since) < demandTime*3/10 || memory == 0 {
 		return Demand{}
 	}
 	// An average that fades holds what came within its time, less of it while it is young.
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -182,6 +182,8 @@
 	tried   []attempt
 	scratch []load
 	demand  demand
+	// begun is when the first engine was known.
+	begun time.Time
 	// heard is when an engine of each zone was last known to answer.
 	heard map[hingeids.Zone]time.Time
 }
--- a/internal/decide/hingefleet/fleet_test.go
+++ b/internal/decide/hingefleet/fleet_test.go
@@ -367,6 +367,42 @@
 	}
 }
 
+// All hosts were without power, and of the engines only the first has announced itself again. It is full
+// at once. Callers that were sent away for some seconds then would come back late, to engines that
+// had been there a moment after.
+func TestFleetThatHasJustBegunWaitsForItsEngines(t *testing.T) {
+	f := New()
+	now := simStart
+	list := engines()
+	f.SetEngines(list[:2])
+	for i := range 6 {
+		f.Offer(now, wantOf(StreamID(fmt.Sprint(i)), now))
+	}
+	for _, d := range f.Step(now) {
+		if d.Refused {
+			t.Fatalf("refused before its engines were heard of: %+v", d)
+		}
+	}
+	now = now.Add(300 * time.Millisecond)
+	list[2].Memory = 1_000_000
+	list[2].Slots = 100
+	f.SetEngines(list)
+	granted := 0
+	for range 20 {
+		for _, d := range f.Step(now) {
+			f.Note(now, Note{
+				Server: d.Grant.Prefill,
+				Stream: d.ID,
+			})
+			granted++
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	if granted != 5 {
+		t.Fatalf("%d of the 5 that waited were granted", granted)
+	}
+}
+
 // Engines of a large zone crash one after the other, while the others go on answering. The zone isn't cut off:
 // its engines must not be held to one stream at a time for as long as some are down.
 func TestCrashedEnginesCastNoDoubtOnAZoneThatAnswers(t *testing.T) {
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -51,6 +51,9 @@
 
 // Step forgets what is over and decides on what waits.
 func (f *Fleet) Step(now time.Time) []Decision {
+	if f.begun.IsZero() && len(f.engines) > 0 {
+		f.begun = now
+	}
 	f.expire(now)
 	f.order(now)
 	f.tried = f.tried[:0]
@@ -142,7 +145,7 @@
 	switch {
 	case w.Moved && now.Before(until):
 		return Decision{}, false
-	case w.onTime(now.Add(wait)):
+	case w.onTime(now.Add(wait)) || f.young(now) && w.onTime(now):
 		return Decision{}, false
 	case r.spare() && now.Add(r.lateWait(ahead+1)).Before(until):
 		return Decision{}, false
@@ -151,7 +154,7 @@
 		ID:         w.ID,
 		Owner:      w.Owner,
 		Refused:    true,
-		RetryAfter: r.retryAfter(w.ID, wait),
+		RetryAfter: f.retryAfter(now, w.ID, wait, r),
 		Waited:     now.Sub(w.Arrived),
 	}, true
 }
@@ -159,15 +162,29 @@
 // retryAfter is when a refused caller is best back: once the work ahead has
 // drained or, while as much arrives as drains, once the burst is likely over.
 // Callers are spread over the time around it, or they would come back as the next burst.
-func (r rates) retryAfter(id StreamID, wait time.Duration) time.Duration {
+func (f *Fleet) retryAfter(now time.Time, id StreamID, wait time.Duration, r rates) time.Duration {
 	after := min(max(wait, shortestRetry), longestRetry)
-	if !r.spare() {
+	switch {
+	case f.young(now):
+		after = learning
+	case !r.spare():
 		after = longestRetry
 	}
 	lot := float64(xxhash.Sum64String(string(id))%1000) / 1000
 	return time.Duration(float64(after) * (1 - retrySpread*lot))
 }
 
+// young reports whether engines may exist that haven't been heard of yet: after all hosts have lost
+// power, they announce themselves one by one. What the first of them has no room for is no
+// saturation, and to send callers away for the length of a burst would keep them from engines that
+// are there a moment later.
+func (f *Fleet) young(now time.Time) bool {
+	return !f.begun.IsZero() && now.Sub(f.begun) < learning
+}
+
+// learning is how long it takes until all engines are heard of: they announce themselves every 1.2 s.
+const learning = 1500 * time.Millisecond
+
 // retrySpread is the share of the time told by which callers are spread.
 const retrySpread = 0.3
 
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -26,7 +26,7 @@
 	rolesEvery = 500 * time.Millisecond
 	// holdFor is how long the same change must be worth it, rest the pause between two:
 	// longer than a change takes, so that its effect is seen before the next.
-	holdFor = 3 * time.Second
+	holdFor = time.Second
 	rest    = 9 * time.Second
 	// shiftAtOnce is how many engines there are, beyond smallPool, to each that changes at the
 	// same moment: at most a quarter of a pool is away for a change, and only engines that the
