Bound the connections that one host has open at a replica

Cause: the connections that a replica takes from all hosts were read from the configuration and not used. One that takes requests and answers none could be filled by one host, and would reset the others'. Change: a host has at most its part of them open at a replica, two at least (hingebalance rule 6). Test: 30 requests at a silent replica, of which 10 may be open; red before (30).

--- a/internal/decide/hingebalance/balance.go
+++ b/internal/decide/hingebalance/balance.go
@@ -18,6 +18,8 @@
 //     when its time is over: each try takes as long as callers of the quay wait.
 //  5. One request in some is sent to a replica that wasn't used lately, so that one that
 //     has recovered is noticed.
+//  6. A host has no more than its part of a replica's connections open. A replica that takes requests and
+//     answers none would otherwise fill up with those of one host, and reset the others'.
 package hingebalance
 
 import (
@@ -139,12 +141,13 @@
 	cost    time.Duration
 }
 
-// Choose takes a replica for a request, or none. Each choice is followed by one Done.
-func (b *Balance) Choose(now time.Time, list []Replica, avoid []hingeids.ServerID) (Replica, bool) {
+// Choose takes a replica for a request, or none; most is how many requests this host may have at
+// one (rule 6), zero for any number. Each choice is followed by one Done.
+func (b *Balance) Choose(now time.Time, list []Replica, avoid []hingeids.ServerID, most int) (Replica, bool) {
 	var free, away []choice
 	for _, r := range list {
 		s := b.state(r.Server)
-		if s.gone || slices.Contains(avoid, r.Server) {
+		if s.gone || slices.Contains(avoid, r.Server) || most > 0 && s.open >= most {
 			continue
 		}
 		c := choice{
--- a/internal/decide/hingebalance/balance_test.go
+++ b/internal/decide/hingebalance/balance_test.go
@@ -53,7 +53,7 @@
 			b.Done(now, e.id, e.o, e.took)
 		}
 		open = kept
-		r, ok := b.Choose(now, replicas(), nil)
+		r, ok := b.Choose(now, replicas(), nil, 0)
 		if !ok {
 			continue
 		}
@@ -142,7 +142,7 @@
 			b.Done(now, e.id, e.o, e.took)
 			return true
 		})
-		r, _ := b.Choose(now, list, nil)
+		r, _ := b.Choose(now, list, nil, 0)
 		e := ending{
 			id:   r.Server,
 			took: 30 * time.Millisecond,
@@ -179,7 +179,7 @@
 	tries := 0
 	now := start
 	for ; now.Sub(start) < 6*time.Second; now = now.Add(20 * time.Millisecond) {
-		r, ok := b.Choose(now, replicas(), nil)
+		r, ok := b.Choose(now, replicas(), nil, 0)
 		if !ok {
 			continue
 		}
@@ -190,11 +190,11 @@
 		t.Errorf("%d of 300 requests tried replicas that can't be reached", tries)
 	}
 	for end := now.Add(7 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
-		if r, ok := b.Choose(now, replicas(), nil); ok {
+		if r, ok := b.Choose(now, replicas(), nil, 0); ok {
 			b.Done(now, r.Server, Answered, 15*time.Millisecond)
 		}
 	}
-	if _, ok := b.Choose(now, replicas(), nil); !ok {
+	if _, ok := b.Choose(now, replicas(), nil, 0); !ok {
 		t.Error("replicas that are back are not used")
 	}
 }
@@ -220,7 +220,7 @@
 	dark := 0
 	now := start
 	for ; now.Sub(start) < 10*time.Second; now = now.Add(20 * time.Millisecond) {
-		r, _ := b.Choose(now, replicas(), nil)
+		r, _ := b.Choose(now, replicas(), nil, 0)
 		if r.Server == "app-1" {
 			dark++
 			b.Done(now, r.Server, Unreached, 200*time.Millisecond)
@@ -233,7 +233,7 @@
 	}
 	back := 0
 	for end := now.Add(15 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
-		r, _ := b.Choose(now, replicas(), nil)
+		r, _ := b.Choose(now, replicas(), nil, 0)
 		b.Done(now, r.Server, Answered, 15*time.Millisecond)
 		if r.Server == "app-1" {
 			back++
@@ -250,14 +250,14 @@
 	b := New("cancale", 1)
 	now := start
 	for range 50 {
-		r, ok := b.Choose(now, replicas(), nil)
+		r, ok := b.Choose(now, replicas(), nil, 0)
 		if !ok {
 			t.Fatal("nobody was tried")
 		}
 		b.Done(now, r.Server, Failed, time.Millisecond)
 		now = now.Add(10 * time.Millisecond)
 	}
-	if _, ok := b.Choose(now, nil, nil); ok {
+	if _, ok := b.Choose(now, nil, nil, 0); ok {
 		t.Fatal("a replica was chosen of none")
 	}
 }
@@ -266,11 +266,11 @@
 // nothing more is sent there.
 func TestReplacedReplicaGetsNothing(t *testing.T) {
 	b := New("cancale", 1)
-	b.Choose(start, replicas(), nil)
+	b.Choose(start, replicas(), nil, 0)
 	b.Done(start, "app-1", Gone, time.Millisecond)
 	got := make(map[hingeids.ServerID]bool)
 	for range 50 {
-		r, _ := b.Choose(start, replicas(), nil)
+		r, _ := b.Choose(start, replicas(), nil, 0)
 		got[r.Server] = true
 	}
 	want := map[hingeids.ServerID]bool{
@@ -281,3 +281,23 @@
 		t.Fatal(diff)
 	}
 }
+
+// A replica takes requests and answers none, for seconds. A host that kept sending there would fill it to its
+// last connection, and what other hosts send would be reset.
+func TestSilentReplicaIsNotFilledByOneHost(t *testing.T) {
+	b := New("cancale", 1)
+	list := replicas()[:1]
+	got := 0
+	for range 30 {
+		if _, ok := b.Choose(start, list, nil, 10); ok {
+			got++
+		}
+	}
+	if got != 10 {
+		t.Fatalf("%d requests are open at a replica that has 10 connections for this host", got)
+	}
+	b.Done(start, list[0].Server, Answered, time.Millisecond)
+	if _, ok := b.Choose(start, list, nil, 10); !ok {
+		t.Fatal("a connection that is free again isn't used")
+	}
+}
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -91,11 +91,26 @@
 
 func (p *Proxy) choose(j *job, avoid []hingeids.ServerID) (hingebalance.Replica, bool) {
 	list := p.world.Replicas(j.service)
+	most := p.connections(j.service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.balance(j.service).Choose(p.settings.Clock(), list, avoid)
+	return p.balance(j.service).Choose(p.settings.Clock(), list, avoid, most)
 }
 
+// connections is this host's part of the connections that a replica takes from all, zero if
+// there is no bound.
+func (p *Proxy) connections(s hingeids.Service) int {
+	all := p.world.Table().Services[s].Connections
+	if all == 0 {
+		return 0
+	}
+	return max(all/max(p.world.Entries(), 1), leastConnections)
+}
+
+// leastConnections lets every host have a request at a replica and another behind it, however many
+// hosts there are.
+const leastConnections = 2
+
 // try sends a request to a replica and tells the balance how it went.
 func (p *Proxy) try(ctx context.Context, j *job, r hingebalance.Replica) (*whole, hingebalance.Outcome, error) {
 	began := p.settings.Clock()
