Claim an empty disk anew when the group has known a newer one

Cause: a disk's incarnation is the time of day at which it was claimed. Ruled out: counting instead of clocks, since a lost disk takes the count with it. Change: the leader answers which disk it knows, and a host whose log is empty claims its folder above it. A disk that holds anything is not renamed: an older copy of a disk still stops its host. Test: the host joins, and votes after another is lost.

--- a/internal/agreement/hingegroup/bring.go
+++ b/internal/agreement/hingegroup/bring.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
@@ -174,21 +175,72 @@
 	return nil, failed
 }
 
+// joinAnswer is a leader's answer to a host that asks to join.
+type joinAnswer struct {
+	// Newest is set if the host has had a newer disk than the one that it asks with.
+	Newest hingeids.Incarnation `cbor:"1,keyasint,omitempty"`
+}
+
 // askToJoin asks all hosts; the one that leads takes this one in as a learner.
 func (g *Group) askToJoin(ctx context.Context) {
 	one, stop := context.WithTimeout(ctx, g.settings.Election)
 	defer stop()
+	self := g.Standing().Self
+	answers := make(chan joinAnswer, len(g.hosts()))
 	var calls sync.WaitGroup
 	for _, h := range g.hosts() {
 		if h == g.settings.Self {
 			continue
 		}
 		calls.Go(func() {
+			var a joinAnswer
 			// Only the leader says yes; this host hears of it by the log.
-			_, _ = g.link.Call(one, h, g.method("join"), encode(g.member.self))
+			if b, err := g.link.Call(one, h, g.method("join"), encode(self)); err == nil && cbor.Unmarshal(b, &a) == nil {
+				answers <- a
+			}
 		})
 	}
 	calls.Wait()
+	close(answers)
+	newest := hingeids.Incarnation(0)
+	for a := range answers {
+		newest = max(newest, a.Newest)
+	}
+	if newest > self.Disk {
+		g.renew(ctx, newest)
+	}
+}
+
+// renew claims this host's disk anew, above one that the group has known it with (rule 4).
+func (g *Group) renew(ctx context.Context, above hingeids.Incarnation) {
+	failed, err := inLoop(ctx, g, func(now time.Time) error {
+		return g.member.renew(now, above)
+	})
+	if err == nil {
+		err = failed
+	}
+	if err != nil {
+		g.settings.Recorder.Record(g.settings.Clock(), hingeevents.JournalFailed, hingeevents.Fields{
+			Detail: err.Error(),
+		})
+	}
+}
+
+// renew begins with a new disk incarnation. Only a disk that holds nothing may: another would
+// no longer be bound by what it has confirmed.
+func (m *member) renew(now time.Time, above hingeids.Incarnation) error {
+	if m.log.Standing().Last > 0 || m.self.Disk > above {
+		return nil
+	}
+	s := m.group.settings
+	_ = m.journal.Close()
+	if err := hingejournal.Renew(m.files, s.Self, s.Name, above, s.Today()); err != nil {
+		return err
+	}
+	if err := m.open(now); err != nil {
+		return err
+	}
+	return m.begin(now)
 }
 
 func (g *Group) onJoin(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
@@ -196,22 +248,34 @@
 	if err := cbor.Unmarshal(body, &x); err != nil || x.Host != from {
 		return nil, eris.Errorf("host %s asks to join as %s", from, x.Host)
 	}
+	var a joinAnswer
 	failed, err := inLoop(ctx, g, func(now time.Time) error {
+		if a.Newest = g.member.newerDisk(x); a.Newest > 0 {
+			return nil
+		}
 		return g.member.join(now, x)
 	})
 	if err != nil {
 		return nil, err
 	}
-	return nil, failed
+	return encode(a), failed
+}
+
+// newerDisk gives the newest disk that a member's host is known with, if that is newer.
+func (m *member) newerDisk(x hingelog.Member) hingeids.Incarnation {
+	newest := hingeids.Incarnation(0)
+	for _, o := range m.log.Standing().Members.All() {
+		if o.Host == x.Host && o.Disk > x.Disk {
+			newest = max(newest, o.Disk)
+		}
+	}
+	return newest
 }
 
 // join takes in a newer disk of a host that is a member, or an admitted host.
 func (m *member) join(now time.Time, x hingelog.Member) error {
 	known := m.admitted[string(x.Host)] || m.group.settings.Open
 	for _, o := range m.log.Standing().Members.All() {
-		if o.Host == x.Host && o.Disk > x.Disk {
-			return eris.Errorf("host %s has had a newer disk", x.Host)
-		}
 		known = known || o.Host == x.Host
 	}
 	if !known {
--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -14,7 +14,9 @@
 //     leader is known. A lost disk can't found a second group as long as one
 //     of the others still holds the first.
 //  4. A host with an empty disk asks to join until it is a member. The leader takes in
-//     a new disk of a host that is a member, and hosts that an operator admitted.
+//     a new disk of a host that is a member, and hosts that an operator admitted. A disk's incarnation
+//     is the time of day at which it was claimed; one that was claimed with a clock that was
+//     behind, and holds nothing yet, is claimed anew above the newest that the leader knows.
 //  5. A proposal from any host goes to the leader. Its error says NotRun only if
 //     the log refused it, if it never left, or if another entry was committed in its place.
 //     Without a leader it is refused at once, with a time to come back.
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -68,6 +68,8 @@
 	network *hingefake.Network
 	all     map[hingeids.HostID]*openHost
 	starts  uint64
+	// behind is how far the time of day is behind on hosts that are started.
+	behind time.Duration
 }
 
 func inOpenGroup(t *testing.T, f func(t *testing.T, g *openGroup)) {
@@ -98,6 +100,7 @@
 		ended:   make(chan error, 1),
 	}
 	var err error
+	behind := g.behind
 	x.group, err = New(Settings{
 		Name:   "config",
 		Self:   id,
@@ -106,7 +109,10 @@
 		Joins:  !founds,
 		Voters: 3,
 		Clock:  time.Now,
-		Seed:   g.starts,
+		Today: func() time.Time {
+			return time.Now().Add(-behind)
+		},
+		Seed: g.starts,
 	}, g.network.Link(id), disk, x.machine)
 	if err != nil {
 		g.t.Fatal(err)
@@ -290,3 +296,22 @@
 		}
 	})
 }
+
+// A host loses its disk while its time of day is set back, to before its last disk was made. To the
+// others its new disk looks older than the one that was lost. If they left it at that, the
+// host would never vote again, and the next loss would leave no quorum.
+func TestDiskMadeWithAnEarlierTimeOfDayJoins(t *testing.T) {
+	inOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		g.kill("core-3")
+		g.behind = time.Hour
+		g.start("core-3", &fillable{memory: newMemory()}, false)
+		time.Sleep(8 * time.Second)
+		if got := g.all["core-3"].machine.Views().Load().Version; got != 1 {
+			t.Fatalf("the repaired host holds version %d", got)
+		}
+		g.kill("core-2")
+		time.Sleep(4 * time.Second)
+		g.mustChange("core-3", 2)
+	})
+}
--- a/internal/agreement/hingejournal/identity.go
+++ b/internal/agreement/hingejournal/identity.go
@@ -60,6 +60,34 @@
 	return id, true, writeWhole(f, identityFile, encodeIdentity(id))
 }
 
+// Renew gives a folder whose journal is empty an identity with a disk incarnation above another, for a host whose
+// time of day was behind when its folder was claimed: to the others its disk would be older
+// than one that it has lost, and they would never take it in.
+func Renew(f Files, host hingeids.HostID, group string, above hingeids.Incarnation, now time.Time) error {
+	names, err := f.List()
+	if err != nil {
+		return eris.Wrap(err, "list data folder")
+	}
+	// Segments bear the mark of the identity that they were made under. Removed first, they leave
+	// an empty folder with its old identity, should the host die in between.
+	for _, n := range names {
+		if n == identityFile {
+			continue
+		}
+		if err := f.Remove(n); err != nil {
+			return eris.Wrapf(err, "remove %s", n)
+		}
+	}
+	if err := f.Sync(); err != nil {
+		return eris.Wrap(err, "sync data folder")
+	}
+	return writeWhole(f, identityFile, encodeIdentity(Identity{
+		Host:  host,
+		Group: group,
+		Disk:  max(hingeids.Incarnation(now.UnixNano()), above+1),
+	}))
+}
+
 // refuseForeign refuses files that aren't ours: a folder given by mistake must
 // not be written to.
 func refuseForeign(names []string) error {
