Try the engines of a zone when it is heard again

Ruled out: prompts that nobody ended (their streams are forgotten), a pace learned behind the cut (it fades). Test: red before (7 s).

--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -186,6 +186,8 @@
 	begun time.Time
 	// heard is when an engine of each zone was last known to answer.
 	heard map[hingeids.Zone]time.Time
+	// silent are the zones of which nothing was heard since an engine there couldn't be reached.
+	silent map[hingeids.Zone]bool
 }
 
 // New makes an empty fleet.
@@ -195,6 +197,7 @@
 		streams: make(map[StreamID]*stream),
 		owners:  make(map[hingeids.HostID]time.Time),
 		heard:   make(map[hingeids.Zone]time.Time),
+		silent:  make(map[hingeids.Zone]bool),
 	}
 }
 
--- a/internal/decide/hingefleet/fleet_test.go
+++ b/internal/decide/hingefleet/fleet_test.go
@@ -327,6 +327,35 @@
 	}
 }
 
+// A zone is cut off for some seconds, and its engines are tried in vain, each time after a longer pause. One of
+// them answers: the zone is back, and the others must not stay unused for seconds, while callers
+// wait in front of the engines of other zones.
+func TestEnginesAreTriedWhenTheirZoneIsBack(t *testing.T) {
+	f := New()
+	f.SetEngines(engines())
+	now := simStart
+	for range 4 {
+		for _, id := range []hingeids.ServerID{"decode-1", "decode-2"} {
+			f.Note(now, Note{
+				Server:  id,
+				Outcome: Unreached,
+			})
+		}
+		now = f.engines["decode-1"].health.awayTill
+	}
+	f.Note(now, Note{
+		Server:  "decode-1",
+		Outcome: Unreached,
+	})
+	f.Note(now, Note{
+		Server:  "decode-2",
+		Outcome: Begun,
+	})
+	if !f.engines["decode-1"].health.usable(now.Add(time.Millisecond)) {
+		t.Fatalf("it is tried only %v after its zone is back", f.engines["decode-1"].health.awayTill.Sub(now))
+	}
+}
+
 // A zone is cut off with two of four decode engines. What one stream finds out
 // counts for the other engine too: it gets one stream, not a share of all.
 func TestUnreachedEngineCastsDoubtOnItsZone(t *testing.T) {
--- a/internal/decide/hingefleet/health.go
+++ b/internal/decide/hingefleet/health.go
@@ -53,6 +53,8 @@
 	// when a stream was last sent to show it.
 	doubted bool
 	triedAt time.Time
+	// dark says that it couldn't be reached when it was tried last.
+	dark bool
 }
 
 // usable reports whether an engine may get a stream.
@@ -79,7 +81,7 @@
 	e.health.note(now, n.Outcome)
 	switch n.Outcome {
 	case Worked, Begun:
-		f.heard[e.Zone] = now
+		f.hear(now, e.Zone)
 	case Unreached:
 		f.doubt(now, e.Zone)
 	}
@@ -98,6 +100,7 @@
 	if now.Sub(f.heard[zone]) < doubtless {
 		return
 	}
+	f.silent[zone] = true
 	for _, e := range f.engines {
 		if e.Zone == zone {
 			e.health.doubted = true
@@ -105,6 +108,22 @@
 	}
 }
 
+// hear notes that an engine of a zone answers. If the whole zone was silent before, it is back, and all its
+// engines that couldn't be reached are tried at once: by then they have been left alone
+// for longer each time, and would stay unused for as long as the cut has lasted.
+func (f *Fleet) hear(now time.Time, zone hingeids.Zone) {
+	f.heard[zone] = now
+	if !f.silent[zone] {
+		return
+	}
+	delete(f.silent, zone)
+	for _, e := range f.engines {
+		if e.Zone == zone && e.health.dark && e.health.awayTill.After(now) {
+			e.health.awayTill = now
+		}
+	}
+}
+
 func (h *health) note(now time.Time, o Outcome) {
 	switch o {
 	case Worked:
@@ -120,6 +139,7 @@
 		h.fulls++
 	case Unreached:
 		h.leave(now)
+		h.dark = true
 	case Failed:
 		h.failing += failWeight * (1 - h.failing)
 		if h.failing > failLimit {
@@ -131,6 +151,7 @@
 func (h *health) reached() {
 	h.fulls = 0
 	h.doubted = false
+	h.dark = false
 }
 
 func (h *health) leave(now time.Time) {
