Keep engines of both roles in every zone when one changes

Cause: of engines that cost the same the first by name changed its role, so that a zone could lose its only engine that prefills while others kept two; cut off, it works prompts at decode engines, at half the pace and only such as pause nobody for long. Change: the engine of the zone with most of its role goes (hingeshift rule 6). Test: red before (quiberon 0, roscoff 2).

--- a/internal/decide/hingeshift/shift.go
+++ b/internal/decide/hingeshift/shift.go
@@ -5,17 +5,23 @@
 //     both pools look full, and only what was asked for says which one is short.
 //     It is measured in engines: prompt tokens not cached over an engine's rate,
 //     slot time over an engine's slots.
+//
 //  2. The served share is what the scarcer role lets through. A shift gains what
 //     the served share rises, of the whole pool, over the time for which the
 //     demand is likely to last, and that is taken to be as long as it has lasted.
+//
 //  3. A shift costs the engine's drain (it takes nothing new while what it holds
 //     comes to its end), and the change itself. It must gain twice its cost.
+//
 //  4. Hysteresis: the same shift must be worth it for HoldFor without a break, and
 //     after a shift the next one waits for Rest. The demand of a minute that
 //     goes back and forth moves nothing.
+//
 //  5. Each role keeps at least one engine. One engine shifts at a time, and in a large
 //     pool as many more at the same moment as the same demand asks for (More): one after
 //     the other, thirty engines would take longer to follow a demand than it lasts.
+//  6. Of engines that cost the same, the one of the zone with most of its role goes: a zone that is
+//     cut off goes on with the roles that it has.
 //
 // Limits: one model at a time; that an engine of the other zone could help is not
 // seen here.
@@ -52,6 +58,7 @@
 type Engine struct {
 	Server hingeids.ServerID
 	Kind   hingeannounce.Kind
+	Zone   hingeids.Zone
 	// Held counts what it holds, and Drain predicts how long that takes to end.
 	Held  int
 	Drain time.Duration
@@ -181,15 +188,25 @@
 	return share
 }
 
-// cheapest is the engine of the other role with the shortest drain.
+// cheapest is the engine of the other role with the shortest drain; among alike ones, one of
+// the zone that has most of that role (rule 6).
 func cheapest(engines []Engine, to hingeannounce.Kind) Engine {
 	from := hingeannounce.Prefill
 	if to == hingeannounce.Prefill {
 		from = hingeannounce.Decode
 	}
+	inZone := make(map[hingeids.Zone]int)
+	for _, e := range engines {
+		if e.Kind == from {
+			inZone[e.Zone]++
+		}
+	}
 	var best Engine
 	for _, e := range engines {
-		if e.Kind == from && (best.Server == "" || e.Drain < best.Drain) {
+		if e.Kind != from {
+			continue
+		}
+		if best.Server == "" || e.Drain < best.Drain || e.Drain == best.Drain && inZone[e.Zone] > inZone[best.Zone] {
 			best = e
 		}
 	}
--- a/internal/decide/hingeshift/shift_test.go
+++ b/internal/decide/hingeshift/shift_test.go
@@ -127,3 +127,39 @@
 		t.Fatal(diff)
 	}
 }
+
+// Prefill engines are to spare, and four of five stand in two zones. If the only one of the third zone was
+// moved, that zone would have nobody to work its prompts once it is cut off, and its
+// dossiers would be refused in front of idle decode engines.
+func TestZoneKeepsItsOnlyPrefillEngine(t *testing.T) {
+	zones := []hingeids.Zone{"quiberon", "cancale", "cancale", "roscoff", "roscoff"}
+	engines := nine(0)
+	for i := range engines {
+		engines[i].Drain = 0
+		engines[i].Kind = hingeannounce.Decode
+		if i < len(zones) {
+			engines[i].Kind = hingeannounce.Prefill
+			engines[i].Zone = zones[i]
+		}
+	}
+	play(engines, 30*time.Minute, func(time.Duration) Demand {
+		return Demand{
+			Prefill: 3,
+			Decode:  6,
+		}
+	})
+	left := make(map[hingeids.Zone]int)
+	for _, e := range engines {
+		if e.Kind == hingeannounce.Prefill {
+			left[e.Zone]++
+		}
+	}
+	want := map[hingeids.Zone]int{
+		"quiberon": 1,
+		"cancale":  1,
+		"roscoff":  1,
+	}
+	if diff := cmp.Diff(want, left); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -257,6 +257,7 @@
 		engines = append(engines, hingeshift.Engine{
 			Server: e.Server,
 			Kind:   kindOf[role],
+			Zone:   e.Zone,
 		})
 	}
 	return engines, prefills
