--- a/internal/decide/hingeshift/shift.go
+++ b/internal/decide/hingeshift/shift.go
@@ -16,7 +16,6 @@
 //  4. Hysteresis: the same shift must be worth it for HoldFor without a break, and
 //     after a shift the next one waits for Rest. The demand of a minute that
 //     goes back and forth moves nothing.
-//
 //  5. Each role keeps at least one engine. One engine shifts at a time, and in a large
 //     pool as many more at the same moment as the same demand asks for (More): one after
 //     the other, thirty engines would take longer to follow a demand than it lasts.
