--- a/internal/decide/hingeshift/shift.go
+++ b/internal/decide/hingeshift/shift.go
@@ -5,14 +5,11 @@
 //     both pools look full, and only what was asked for says which one is short.
 //     It is measured in engines: prompt tokens not cached over an engine's rate,
 //     slot time over an engine's slots.
-//
 //  2. The served share is what the scarcer role lets through. A shift gains what
 //     the served share rises, of the whole pool, over the time for which the
 //     demand is likely to last, and that is taken to be as long as it has lasted.
-//
 //  3. A shift costs the engine's drain (it takes nothing new while what it holds
 //     comes to its end), and the change itself. It must gain twice its cost.
-//
 //  4. Hysteresis: the same shift must be worth it for HoldFor without a break, and
 //     after a shift the next one waits for Rest. The demand of a minute that
 //     goes back and forth moves nothing.
