--- a/internal/link/hingelink/quic.go
+++ b/internal/link/hingelink/quic.go
@@ -111,6 +111,21 @@
 
 var _ Link = (*QUIC)(nil)
 
+// NewInsecure makes the link of a host on a platform that gives its processes no keys: links are
+// encrypted with certificates made in memory, and whoever can send packets is believed.
+func NewInsecure(
+	self hingeids.Life, listen string, addressOf func(hingeids.HostID) (string, error), r *hingeevents.Recorder,
+) (*QUIC, error) {
+	return NewQUIC(Config{
+		Self:        self.Host,
+		Incarnation: self.Incarnation,
+		Listen:      listen,
+		AddressOf:   addressOf,
+		Insecure:    true,
+		Recorder:    r,
+	})
+}
+
 // NewQUIC opens the listening socket. Run must follow, and closes it.
 func NewQUIC(c Config) (*QUIC, error) {
 	if !c.Insecure && (c.TLS == nil || c.TLS.VerifyConnection == nil) {
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -92,15 +92,7 @@
 	}
 	c.world.Store(hingeworld.Build(nil, nil))
 	var err error
-	c.link, err = hingelink.NewQUIC(hingelink.Config{
-		Self:        o.Life.Host,
-		Incarnation: o.Life.Incarnation,
-		Listen:      o.Link,
-		AddressOf:   o.AddressOf,
-		Insecure:    true,
-		Recorder:    o.Recorder,
-	})
-	if err != nil {
+	if c.link, err = hingelink.NewInsecure(o.Life, o.Link, o.AddressOf, o.Recorder); err != nil {
 		return nil, err
 	}
 	if c.group, err = c.openGroup(ctx); err != nil {
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -95,15 +95,7 @@
 	}
 	f.world.Store(hingeworld.Build(nil, nil))
 	var err error
-	f.link, err = hingelink.NewQUIC(hingelink.Config{
-		Self:        o.Life.Host,
-		Incarnation: o.Life.Incarnation,
-		Listen:      o.Link,
-		AddressOf:   o.AddressOf,
-		Insecure:    true,
-		Recorder:    o.Recorder,
-	})
-	if err != nil {
+	if f.link, err = hingelink.NewInsecure(o.Life, o.Link, o.AddressOf, o.Recorder); err != nil {
 		return nil, err
 	}
 	f.follower = hingefollow.New(hingefollow.Settings{
