Take in a lost disk's host under a leader that is none of its seeds, and soak larger fleets

Cause: a host that joins asks those that it was told of at its start, and only the leader takes it in. With five control hosts and three seeds the leader is another one as often as not; a host whose disk was lost stayed outside for as long as that one led, one disk fewer for the next loss. Change: whoever is asked to join names the leader, and the host asks there as well. The soak takes the numbers of hosts as options; a run of the usual three and three draws the same plan as before.

--- a/cmd/swifthinge-soak/main.go
+++ b/cmd/swifthinge-soak/main.go
@@ -42,6 +42,16 @@
 				Usage: "how many seeds, one after the other",
 				Value: 1,
 			},
+			&cli.IntFlag{
+				Name:  "controls",
+				Usage: "how many control hosts",
+				Value: 3,
+			},
+			&cli.IntFlag{
+				Name:  "entries",
+				Usage: "how many entry hosts",
+				Value: 3,
+			},
 			&cli.DurationFlag{
 				Name:  "lasts",
 				Usage: "how long faults are injected for each seed",
@@ -61,11 +71,13 @@
 	for i := range c.Int("seeds") {
 		seed := c.Uint64("seed") + uint64(i)
 		r, err := hingesoak.Run(ctx, hingesoak.Options{
-			Program: c.String("program"),
-			Folder:  filepath.Join(c.String("folder"), fmt.Sprint("seed-", seed)),
-			Seed:    seed,
-			Lasts:   c.Duration("lasts"),
-			Out:     os.Stdout,
+			Program:  c.String("program"),
+			Folder:   filepath.Join(c.String("folder"), fmt.Sprint("seed-", seed)),
+			Seed:     seed,
+			Controls: c.Int("controls"),
+			Entries:  c.Int("entries"),
+			Lasts:    c.Duration("lasts"),
+			Out:      os.Stdout,
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
--- a/internal/agreement/hingegroup/bring.go
+++ b/internal/agreement/hingegroup/bring.go
@@ -175,40 +175,60 @@
 	return nil, failed
 }
 
-// joinAnswer is a leader's answer to a host that asks to join.
+// joinAnswer is the answer to a host that asks to join.
 type joinAnswer struct {
 	// Newest is set if the host has had a newer disk than the one that it asks with.
 	Newest hingeids.Incarnation `cbor:"1,keyasint,omitempty"`
+	// Leader is set if another host leads: only that one takes hosts in.
+	Leader hingeids.HostID `cbor:"2,keyasint,omitempty"`
 }
 
-// askToJoin asks all hosts; the one that leads takes this one in as a learner.
+// askToJoin asks all hosts; the one that leads takes this one in as a learner. It may be none of
+// those that this host was told of at its start, so whoever is asked names it.
 func (g *Group) askToJoin(ctx context.Context) {
 	one, stop := context.WithTimeout(ctx, g.settings.Election)
 	defer stop()
 	self := g.Standing().Self
-	answers := make(chan joinAnswer, len(g.hosts()))
+	asked := g.hosts()
+	answers := g.askEach(one, self, asked)
+	var others []hingeids.HostID
+	for _, a := range answers {
+		if a.Leader != "" && !slices.Contains(asked, a.Leader) && !slices.Contains(others, a.Leader) {
+			others = append(others, a.Leader)
+		}
+	}
+	newest := hingeids.Incarnation(0)
+	for _, a := range append(answers, g.askEach(one, self, others)...) {
+		newest = max(newest, a.Newest)
+	}
+	if newest > self.Disk {
+		g.renew(ctx, newest)
+	}
+}
+
+// askEach asks hosts to join, and gives the answers of those that could be reached.
+func (g *Group) askEach(ctx context.Context, self hingelog.Member, hosts []hingeids.HostID) []joinAnswer {
+	answers := make(chan joinAnswer, len(hosts))
 	var calls sync.WaitGroup
-	for _, h := range g.hosts() {
+	for _, h := range hosts {
 		if h == g.settings.Self {
 			continue
 		}
 		calls.Go(func() {
 			var a joinAnswer
-			// Only the leader says yes; this host hears of it by the log.
-			if b, err := g.link.Call(one, h, g.method("join"), encode(self)); err == nil && cbor.Unmarshal(b, &a) == nil {
+			// One that can't be reached is asked again soon; this host hears by the log that it was taken in.
+			if b, err := g.link.Call(ctx, h, g.method("join"), encode(self)); err == nil && cbor.Unmarshal(b, &a) == nil {
 				answers <- a
 			}
 		})
 	}
 	calls.Wait()
 	close(answers)
-	newest := hingeids.Incarnation(0)
+	var out []joinAnswer
 	for a := range answers {
-		newest = max(newest, a.Newest)
-	}
-	if newest > self.Disk {
-		g.renew(ctx, newest)
+		out = append(out, a)
 	}
+	return out
 }
 
 // renew claims this host's disk anew, above one that the group has known it with (rule 4).
@@ -253,6 +273,9 @@
 		if a.Newest = g.member.newerDisk(x); a.Newest > 0 {
 			return nil
 		}
+		if a.Leader = g.member.log.Standing().Leader.Host; a.Leader != "" && a.Leader != g.settings.Self {
+			return nil
+		}
 		return g.member.join(now, x)
 	})
 	if err != nil {
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -315,3 +315,34 @@
 		g.mustChange("core-3", 2)
 	})
 }
+
+// A host loses its disk while the group is led by a host that isn't among its seeds: with more control
+// hosts than seeds, two times in five. It knows nobody else to ask, and if nobody told it who
+// leads it would stay outside until the lead changes, one disk fewer for the next loss.
+func TestLostDiskJoinsUnderALeaderThatIsNoSeed(t *testing.T) {
+	inOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		g.kill("core-3")
+		g.start("core-4", &fillable{memory: newMemory()}, false)
+		time.Sleep(20 * time.Second)
+		for range 20 {
+			leader := g.all["core-4"].group.Leader()
+			if leader == "core-4" {
+				break
+			}
+			x := g.kill(leader)
+			time.Sleep(4 * time.Second)
+			g.start(leader, x.disk, false)
+			time.Sleep(4 * time.Second)
+		}
+		if leader := g.all["core-4"].group.Leader(); leader != "core-4" {
+			t.Fatalf("%s leads", leader)
+		}
+		g.kill("core-1")
+		g.start("core-1", &fillable{memory: newMemory()}, false)
+		time.Sleep(10 * time.Second)
+		if got := g.all["core-1"].machine.Views().Load().Version; got != 1 {
+			t.Fatalf("the repaired host holds version %d", got)
+		}
+	})
+}
--- a/internal/soak/hingesoak/fleet.go
+++ b/internal/soak/hingesoak/fleet.go
@@ -44,6 +44,14 @@
 	faults      sync.WaitGroup
 }
 
+const (
+	zones = 3
+	// mostSeeds is how many control hosts a process is told of.
+	mostSeeds = 3
+	// mostVoters is how many control hosts vote; others stand by.
+	mostVoters = 5
+)
+
 // newFleet gives each process a loopback address of its own. The second part of it
 // follows the soak's process id, so that two runs don't meet.
 func newFleet(o Options) *fleet {
@@ -52,14 +60,14 @@
 		options: o,
 	}
 	var seeds []hingeids.HostID
-	for i := range controls {
+	for i := range min(o.Controls, mostSeeds) {
 		seeds = append(seeds, hingeids.HostID(fmt.Sprintf("127.%d.1.%d", net, i+1)))
 	}
-	for i := range controls + entries {
-		control := i < controls
+	for i := range o.Controls + o.Entries {
+		control := i < o.Controls
 		group, n, name, role := 1, i+1, "control", "control"
 		if !control {
-			group, n, name, role = 2, i-controls+1, "entry", "front"
+			group, n, name, role = 2, i-o.Controls+1, "entry", "front"
 		}
 		ip := fmt.Sprintf("127.%d.%d.%d", net, group, n)
 		p := &process{
@@ -67,7 +75,7 @@
 			role: role,
 			settings: hingeplatform.Settings{
 				IP:          ip,
-				Zone:        hingeids.Zone(fmt.Sprint("zone-", n)),
+				Zone:        hingeids.Zone(fmt.Sprint("zone-", (n-1)%zones+1)),
 				CallersAt:   ip + ":8144",
 				ReadyAt:     ip + ":8140",
 				ControlAt:   ip + ":8146",
@@ -75,7 +83,7 @@
 				MetricsPort: 7675,
 				Seeds:       seeds,
 				FirstStart:  true,
-				DisksLost:   1,
+				DisksLost:   max((min(o.Controls, mostVoters)-1)/2, 1),
 				Grace:       8 * time.Second,
 				RepeatShare: 0.2,
 				RepeatBurst: 50,
--- a/internal/soak/hingesoak/load.go
+++ b/internal/soak/hingesoak/load.go
@@ -54,7 +54,7 @@
 	c.asked++
 	id := fmt.Sprintf("%s-%d", c.name, c.asked)
 	path := []string{"/once/x", "/safe/x", "/safe/y", "/stream/x"}[c.random.IntN(4)]
-	at := c.fleet.entries[c.random.IntN(entries)].settings.CallersAt
+	at := c.fleet.entries[c.random.IntN(len(c.fleet.entries))].settings.CallersAt
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+path, strings.NewReader("body of "+id))
 	if err != nil {
 		return false
@@ -160,7 +160,7 @@
 
 // at goes through the control hosts in turn.
 func (o *operator) at() string {
-	return o.fleet.controls[o.turn.Add(1)%controls].settings.ControlAt
+	return o.fleet.controls[int(o.turn.Add(1))%len(o.fleet.controls)].settings.ControlAt
 }
 
 // read reads the configuration back while it changes.
--- a/internal/soak/hingesoak/plan.go
+++ b/internal/soak/hingesoak/plan.go
@@ -48,10 +48,10 @@
 }
 
 // plan draws the faults of a run (rules 1 and 2).
-func plan(random *rand.Rand, lasts time.Duration) []fault {
+func plan(random *rand.Rand, o Options) []fault {
 	var out []fault
 	at := 500 * time.Millisecond
-	for at < lasts {
+	for at < o.Lasts {
 		f := fault{
 			at:      at,
 			kind:    []kind{kill, term, freeze, wipe, storm, hup, link, link, link}[random.IntN(9)],
@@ -64,11 +64,11 @@
 			f.mode = []mode{delay, reset, oneWay, silent}[random.IntN(4)]
 		case f.kind == wipe || f.kind == storm:
 			f.control = true
-			f.index = random.IntN(controls)
+			f.index = random.IntN(o.Controls)
 		case f.control:
-			f.index = random.IntN(controls)
+			f.index = random.IntN(o.Controls)
 		default:
-			f.index = random.IntN(entries)
+			f.index = random.IntN(o.Entries)
 		}
 		out = append(out, f)
 		at += time.Duration(200+random.IntN(1500)) * time.Millisecond
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -72,7 +72,7 @@
 	at := int(x.seq.Load())
 	for ctx.Err() == nil {
 		c := wire.Heartbeat(x.id, x.service(), x.proxy.address(), "zone-1", x.stage, x.seq.Add(1))
-		status, _, err := call(ctx, f.controls[at%controls].settings.ControlAt, c)
+		status, _, err := call(ctx, f.controls[at%len(f.controls)].settings.ControlAt, c)
 		if err != nil || status != http.StatusOK {
 			at++
 			continue
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -4,6 +4,7 @@
 //
 //  1. The plan of faults is drawn from a seed and printed, so that a run can be played
 //     again. What the machine's own timing adds is not in it.
+//     The plan depends on the numbers of hosts too.
 //  2. Faults overlap. One control host is lost at a time, or all are killed at once with
 //     their disks kept: that is what three of them bear.
 //  3. Callers keep their connections until the process at the other end is gone.
@@ -15,6 +16,7 @@
 package hingesoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -32,6 +34,9 @@
 	Program string
 	Folder  string
 	Seed    uint64
+	// Controls and Entries are how many hosts there are of each kind; zero is three.
+	Controls int
+	Entries  int
 	// Lasts is how long faults are injected.
 	Lasts time.Duration
 	Out   io.Writer
@@ -56,9 +61,10 @@
 }
 
 const (
-	controls = 3
-	entries  = 3
-	callers  = 12
+	// usual is how many hosts of each kind a run has that doesn't say.
+	usual = 3
+	// callers is the least number of callers; in a larger fleet each entry host has one.
+	callers = 12
 	// startTime is how long the programs may take to be ready at first, recoverTime
 	// after the last fault.
 	startTime   = 15 * time.Second
@@ -81,6 +87,8 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
+	o.Controls = cmp.Or(o.Controls, usual)
+	o.Entries = cmp.Or(o.Entries, usual)
 	// Disks of an earlier run would keep a new system from being founded.
 	if err := os.RemoveAll(o.Folder); err != nil {
 		return Report{}, eris.Wrap(err, "folder of the soak")
@@ -124,7 +132,7 @@
 // play lets callers and operators act while faults come.
 func (s *soak) play(ctx context.Context, operator *operator) {
 	loaded, stop := context.WithCancel(ctx)
-	for i := range callers {
+	for i := range max(callers, s.options.Entries) {
 		s.load.Go(func() {
 			newCaller(s.fleet, s.book, s.options.Seed, i).run(loaded)
 		})
@@ -135,7 +143,7 @@
 	s.load.Go(func() {
 		operator.read(loaded)
 	})
-	for _, f := range plan(s.random, s.options.Lasts) {
+	for _, f := range plan(s.random, s.options) {
 		at := s.began.Add(f.at)
 		_, _ = fmt.Fprintf(s.options.Out, "%8.3f s %s\n", f.at.Seconds(), f)
 		if !sleepUntil(ctx, at) {
--- a/internal/soak/hingesoak/soak_test.go
+++ b/internal/soak/hingesoak/soak_test.go
@@ -27,19 +27,16 @@
 		t.Fatal(err)
 	}
 	for line := range strings.Lines(string(data)) {
-		first, _, _ := strings.Cut(line, " ")
-		seed, err := strconv.ParseUint(first, 10, 64)
-		if err != nil {
+		o, ok := parseSeed(line)
+		if !ok {
 			continue
 		}
 		var out bytes.Buffer
-		r, err := Run(t.Context(), Options{
-			Program: program,
-			Folder:  t.TempDir(),
-			Seed:    seed,
-			Lasts:   playTime,
-			Out:     &out,
-		})
+		o.Program = program
+		o.Folder = t.TempDir()
+		o.Out = &out
+		seed := o.Seed
+		r, err := Run(t.Context(), o)
 		if err != nil {
 			t.Fatalf("seed %d: %v\n%s", seed, err, out.String())
 		}
@@ -49,3 +46,34 @@
 		}
 	}
 }
+
+// parseSeed reads a seed with what it needs beside it: the numbers of hosts and how long its faults last,
+// up to a colon that begins its cause.
+func parseSeed(line string) (Options, bool) {
+	text, _, _ := strings.Cut(line, ":")
+	words := strings.Fields(text)
+	if len(words) == 0 {
+		return Options{}, false
+	}
+	seed, err := strconv.ParseUint(words[0], 10, 64)
+	if err != nil {
+		return Options{}, false
+	}
+	o := Options{
+		Seed:  seed,
+		Lasts: playTime,
+	}
+	for _, w := range words[1:] {
+		name, value, _ := strings.Cut(w, "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "controls":
+			o.Controls = n
+		case "entries":
+			o.Entries = n
+		case "lasts":
+			o.Lasts, _ = time.ParseDuration(value)
+		}
+	}
+	return o, true
+}
