--- a/internal/decide/hingefleet/demand.go
+++ b/internal/decide/hingefleet/demand.go
@@ -15,6 +15,10 @@
 // seconds, so that single streams don't move it, and shorter than a change of role takes.
 const demandTime = 5 * time.Second
 
+// believedAfter is how long after the first want demand is believed: some fifteen streams of
+// today's demand. A role takes six seconds to change, and the sooner that begins, the less of the first burst it misses.
+const believedAfter = 1500 * time.Millisecond
+
 // demand averages what is asked for, whatever becomes of it: at saturation
 // only that tells which role is short.
 type demand struct {
@@ -60,7 +64,7 @@
 			memory = max(memory, float64(e.Memory))
 		}
 	}
-	if f.demand.since.IsZero() || now.Sub(f.demand.since) < demandTime*3/10 || memory == 0 {
+	if f.demand.since.IsZero() || now.Sub(f.demand.since) < believedAfter || memory == 0 {
 		return Demand{}
 	}
 	// An average that fades holds what came within its time, less of it while it is young.
--- a/internal/decide/hingefleet/grant.go
+++ b/internal/decide/hingefleet/grant.go
@@ -6,14 +6,6 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
-// lastCall reports whether a want can still be on time if a decode engine works its prompt, but
-// not for much longer.
-func (w *Want) lastCall(now time.Time) bool {
-	takes := ownReading*reading(w.Prompt) + prefillStart
-	left := w.Arrived.Add(w.Target).Sub(now.Add(takes))
-	return !w.Moved && left > 0 && left < lastCallTime
-}
-
 func (f *Fleet) grant(now time.Time, w *Want) (Decision, bool) {
 	limit := memoryShare
 	if !w.Moved && !w.Cached && !w.onTime(now) {
@@ -125,3 +117,11 @@
 	}
 	return true
 }
+
+// lastCall reports whether a want can still be on time if a decode engine works its prompt, but
+// not for much longer.
+func (w *Want) lastCall(now time.Time) bool {
+	takes := ownReading*reading(w.Prompt) + prefillStart
+	left := w.Arrived.Add(w.Target).Sub(now.Add(takes))
+	return !w.Moved && left > 0 && left < lastCallTime
+}
