--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -24,8 +24,9 @@
 	prefillSlack = 1.3
 	// rolesEvery is how often roles are thought of.
 	rolesEvery = 500 * time.Millisecond
-	// holdFor is how long the same change must be worth it, rest the pause between two:
-	// longer than a change takes, so that its effect is seen before the next.
+	// holdFor is how long the same change must be worth it: three looks in a row, at a demand that is an
+	// average over seconds already. Rest is the pause between two changes:
+	// longer than one takes, so that its effect is seen before the next.
 	holdFor = time.Second
 	rest    = 9 * time.Second
 	// shiftAtOnce is how many engines there are, beyond smallPool, to each that changes at the
