--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -237,13 +237,17 @@
 // forget drops a stream and what it has waiting at an engine that prefills.
 func (f *Fleet) forget(id StreamID) {
 	if s := f.streams[id]; s != nil {
-		if e := f.engines[s.prefill]; e != nil {
-			e.prompts.drop(id)
-		}
+		f.dropPrompt(id, s)
 	}
 	delete(f.streams, id)
 }
 
+func (f *Fleet) dropPrompt(id StreamID, s *stream) {
+	if e := f.engines[s.prefill]; e != nil {
+		e.prompts.drop(id)
+	}
+}
+
 func (f *Fleet) progress(now time.Time, owner hingeids.HostID, p Progress) {
 	s := f.streams[p.ID]
 	if s == nil || s.decode != p.Decode {
@@ -262,9 +266,7 @@
 	s.expected = p.Expected
 	s.granted = time.Time{}
 	if p.Made > 0 {
-		if e := f.engines[s.prefill]; e != nil {
-			e.prompts.drop(p.ID)
-		}
+		f.dropPrompt(p.ID, s)
 		s.made = p.Made
 		s.madeAt = now
 	}
--- a/internal/path/hingeproxy/proxy_test.go
+++ b/internal/path/hingeproxy/proxy_test.go
@@ -311,18 +311,12 @@
 		close(silent)
 	})
 	d, _, a, b := fleet(t, nil, nil)
-	fall := func(other *standin) behaviour {
-		return func(_ int, q *http.Request, c net.Conn) bool {
-			if other.ran() > 0 {
-				return false
-			}
-			beginStream(c, q)
-			events(c, 1, 2, false)
-			<-silent
-			return true
-		}
-	}
-	a.behave, b.behave = fall(b), fall(a)
+	firstToRun(a, b, func(_ int, q *http.Request, c net.Conn) bool {
+		beginStream(c, q)
+		events(c, 1, 2, false)
+		<-silent
+		return true
+	})
 	d.left = 8 * time.Second
 	want := got{
 		Status: http.StatusOK,
@@ -442,20 +436,14 @@
 // patience began anew with each event that they got, so another engine is still in time.
 func TestStreamThatBreaksLateGoesOnToo(t *testing.T) {
 	d, _, a, b := fleet(t, nil, nil)
-	slowly := func(other *standin) behaviour {
-		return func(_ int, q *http.Request, c net.Conn) bool {
-			if other.ran() > 0 {
-				return false
-			}
-			beginStream(c, q)
-			for i := 1; i <= 3; i++ {
-				events(c, i, i, false)
-				time.Sleep(800 * time.Millisecond)
-			}
-			return true
+	firstToRun(a, b, func(_ int, q *http.Request, c net.Conn) bool {
+		beginStream(c, q)
+		for i := 1; i <= 3; i++ {
+			events(c, i, i, false)
+			time.Sleep(800 * time.Millisecond)
 		}
-	}
-	a.behave, b.behave = slowly(b), slowly(a)
+		return true
+	})
 	d.left = 8 * time.Second
 	want := got{
 		Status: http.StatusOK,
@@ -512,16 +500,10 @@
 // engine takes it, and the prompt isn't worked twice for it.
 func TestRefusedCacheIsTakenByAnotherEngine(t *testing.T) {
 	d, p, a, b := fleet(t, nil, nil)
-	refuseFirst := func(other *standin) behaviour {
-		return func(_ int, _ *http.Request, c net.Conn) bool {
-			if other.ran() > 0 {
-				return false
-			}
-			refuse(c, http.StatusServiceUnavailable)
-			return true
-		}
-	}
-	a.behave, b.behave = refuseFirst(b), refuseFirst(a)
+	firstToRun(a, b, func(_ int, _ *http.Request, c net.Conn) bool {
+		refuse(c, http.StatusServiceUnavailable)
+		return true
+	})
 	if g := d.ask("/dossier/7"); g.Status != http.StatusOK || g.Body != wholeStream() {
 		t.Fatalf("status %d: %q", g.Status, g.Body)
 	}
@@ -534,17 +516,11 @@
 // more, two arrivals. Counted as one, a fleet would spend twice the budget that it was given.
 func TestMovedStreamCostsTwoArrivals(t *testing.T) {
 	d, _, a, b := fleet(t, nil, nil)
-	dies := func(other *standin) behaviour {
-		return func(_ int, q *http.Request, c net.Conn) bool {
-			if other.ran() > 0 {
-				return false
-			}
-			beginStream(c, q)
-			events(c, 1, 2, false)
-			return true
-		}
-	}
-	a.behave, b.behave = dies(b), dies(a)
+	firstToRun(a, b, func(_ int, q *http.Request, c net.Conn) bool {
+		beginStream(c, q)
+		events(c, 1, 2, false)
+		return true
+	})
 	before := d.budgetLeft("model")
 	if g := d.ask("/dossier/7"); g.Body != wholeStream() {
 		t.Fatalf("status %d: %q", g.Status, g.Body)
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -372,6 +372,17 @@
 	}
 }
 
+// firstToRun gives the one of two servers that is asked first a behaviour; the other does well. Which
+// one that is isn't known before.
+func firstToRun(a, b *standin, behave behaviour) {
+	unless := func(other *standin) behaviour {
+		return func(n int, q *http.Request, c net.Conn) bool {
+			return other.ran() == 0 && behave(n, q, c)
+		}
+	}
+	a.behave, b.behave = unless(b), unless(a)
+}
+
 // spend takes all that the budget of a service has.
 func (d *door) spend(s hingeids.Service) {
 	d.proxy.mu.Lock()
