Tell the lives of a backend server apart, refuse other writers' announcements whole, and take fencing from the settings

Cause: a server may start again under its old id, with `born` telling its starts apart; nothing read it. A life that had left made every later one of the same id count as leaving, what was learned of an earlier life (health, streams, orders, the number of orders accepted) stood for the next, and an announcement with an unknown state, stage or service, or without its number, was taken as far as it could be read: at a good engine's address it took that engine out of use. Engines were taken to check fencing numbers wherever they stood.

Ruled out: a life in each place that keeps something of a server (fleet, balance, orders, proxy, logs): eight places to forget one.

The pause of a new issuer follows the settings (leaseMs) and engines that don't check are treated so.

--- a/internal/config/hingeroutes/routes.go
+++ b/internal/config/hingeroutes/routes.go
@@ -121,6 +121,15 @@
 	}
 }
 
+// Names reports whether a service stands in the configuration. Before any is known, each may.
+func (t *Table) Names(s hingeids.Service) bool {
+	if t == nil {
+		return true
+	}
+	_, there := t.Services[s]
+	return there
+}
+
 // Match gives the route of a request, or nil (rule 2).
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.byHost[host] {
--- a/internal/core/hingeids/ids.go
+++ b/internal/core/hingeids/ids.go
@@ -19,6 +19,37 @@
 // ServerID names a backend server: a model engine or a plain service replica.
 type ServerID string
 
+// lifeMark stands between a server's name and its incarnation. No name holds one: names are parts of
+// paths, where it would end the path.
+const lifeMark = "#"
+
+// InLife names one life of a server. Whoever uses a server knows it by this name, so that nothing that
+// was learned of an earlier life (its health, its streams, its orders) is believed of a later one. Servers that take
+// a new name at each start have the incarnation 1 and no other name.
+func (s ServerID) InLife(i Incarnation) ServerID {
+	if i <= 1 {
+		return s
+	}
+	return s + lifeMark + ServerID(strconv.FormatUint(uint64(i), 10))
+}
+
+// Name is the server's own name, without the life.
+func (s ServerID) Name() ServerID {
+	name, _, _ := strings.Cut(string(s), lifeMark)
+	return ServerID(name)
+}
+
+// Life is the incarnation that the name speaks of, 1 if it names none.
+func (s ServerID) Life() Incarnation {
+	_, life, _ := strings.Cut(string(s), lifeMark)
+	i, err := strconv.ParseUint(life, 10, 64)
+	if err != nil {
+		// Only InLife writes the mark, so what can't be read is a name without a life.
+		return 1
+	}
+	return Incarnation(i)
+}
+
 // Model names a model, as written in the inventory.
 type Model string
 
--- a/internal/membership/hingeannounce/directory.go
+++ b/internal/membership/hingeannounce/directory.go
@@ -65,8 +65,9 @@
 		return d.leave(k, a)
 	}
 	next := k.record
-	a.Leaving = a.Leaving || next.Announcement.Leaving // Rule 3.
+	a.Leaving = a.Leaving || next.leaves(a.Incarnation)
 	same := sameServer(a, next.Announcement) && next.Owner == d.self && !next.Silent
+	d.renew(k, a.Incarnation)
 	if next.Owner == d.self {
 		k.gaps.Observe(max(now.Sub(k.heardAt), 0))
 	}
@@ -81,26 +82,48 @@
 	return !same
 }
 
-// Leave notes that a server leaves for good, and reports whether that is new. One that
-// isn't known yet is remembered too: its heartbeats may be on their way.
-func (d *Directory) Leave(now time.Time, id hingeids.ServerID) bool {
+// leaves is rule 3: leaving is final for its incarnation, and says nothing of the next.
+func (r Record) leaves(i hingeids.Incarnation) bool {
+	return r.Announcement.Leaving && r.Announcement.Incarnation == i
+}
+
+// renew begins a new life of a server: it became known now, and its heartbeats have a rhythm of their own.
+func (d *Directory) renew(k *kept, i hingeids.Incarnation) {
+	if i <= k.record.Announcement.Incarnation {
+		return
+	}
+	k.first = d.change + 1
+	k.gaps = Gaps{}
+}
+
+// Leave notes that a server leaves for good, and reports whether that is new. A server that doesn't say its
+// incarnation, which is zero then, means the one that is known. One that isn't known yet
+// is remembered too: its heartbeats may be on their way.
+func (d *Directory) Leave(now time.Time, id hingeids.ServerID, i hingeids.Incarnation) bool {
 	k := d.records[id]
-	if k == nil {
-		d.put(now, Record{
-			Announcement: Announcement{
-				Server:      id,
-				Incarnation: 1,
-				Leaving:     true,
-			},
-			Owner: d.self,
-		})
-		return true
+	if k != nil && i == 0 {
+		i = k.record.Announcement.Incarnation
 	}
-	if k.record.Announcement.Leaving {
+	i = max(i, 1)
+	switch {
+	case k != nil && i < k.record.Announcement.Incarnation:
 		return false
+	case k != nil && i == k.record.Announcement.Incarnation:
+		if k.record.Announcement.Leaving {
+			return false
+		}
+		k.record.Announcement.Leaving = true
+		d.note(k)
+		return true
 	}
-	k.record.Announcement.Leaving = true
-	d.note(k)
+	d.put(now, Record{
+		Announcement: Announcement{
+			Server:      id,
+			Incarnation: i,
+			Leaving:     true,
+		},
+		Owner: d.self,
+	})
 	return true
 }
 
@@ -116,7 +139,8 @@
 	case newer(held.Announcement, r.Announcement):
 		return d.leave(k, r.Announcement)
 	case newer(r.Announcement, held.Announcement):
-		r.Announcement.Leaving = r.Announcement.Leaving || held.Announcement.Leaving
+		r.Announcement.Leaving = r.Announcement.Leaving || held.leaves(r.Announcement.Incarnation)
+		d.renew(k, r.Announcement.Incarnation)
 		k.heardAt = now
 	default:
 		// The same heartbeat: what was found out since, a silence or a leaving, stays.
--- a/internal/membership/hingeannounce/directory_test.go
+++ b/internal/membership/hingeannounce/directory_test.go
@@ -37,7 +37,7 @@
 func TestLateHeartbeatDoesNotReviveALeavingServer(t *testing.T) {
 	d := NewDirectory("control-1")
 	d.Hear(began, beat("engine", 5))
-	d.Leave(began.Add(time.Second), "engine")
+	d.Leave(began.Add(time.Second), "engine", 0)
 	d.Hear(began.Add(2*time.Second), beat("engine", 4))
 	d.Hear(began.Add(2*time.Second), beat("engine", 6))
 	d.Merge(began.Add(2*time.Second), Record{
@@ -56,7 +56,7 @@
 // heartbeats went elsewhere.
 func TestLeavingIsRememberedBeforeTheFirstHeartbeat(t *testing.T) {
 	d := NewDirectory("control-1")
-	if !d.Leave(began, "engine") {
+	if !d.Leave(began, "engine", 0) {
 		t.Fatal("the followers weren't told")
 	}
 	d.Merge(began, Record{
@@ -135,7 +135,7 @@
 			id := hingeids.ServerID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"))
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0:
-				d.Leave(now, id)
+				d.Leave(now, id, 0)
 			case 1:
 				d.Step(now)
 			case 2:
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -83,11 +83,11 @@
 	return changed
 }
 
-// Leave takes a backend server's word that it leaves.
-func (s *Source) Leave(now time.Time, id hingeids.ServerID) {
+// Leave takes a backend server's word that it leaves, in an incarnation that is zero if it doesn't say it.
+func (s *Source) Leave(now time.Time, id hingeids.ServerID, i hingeids.Incarnation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told(s.directory.Leave(now, id))
+	s.told(s.directory.Leave(now, id, i))
 }
 
 // Wake has waiting questions look again.
--- a/internal/membership/hingeworld/world.go
+++ b/internal/membership/hingeworld/world.go
@@ -32,8 +32,10 @@
 		engines:   make(map[hingeids.Service][]hingefleet.Engine),
 		addresses: make(map[hingeids.ServerID]string),
 	}
-	for _, r := range usable(records) {
-		w.add(r.Announcement)
+	for _, r := range usable(t, records) {
+		a := r.Announcement
+		a.Server = a.Server.InLife(a.Incarnation)
+		w.add(a)
 	}
 	return w
 }
@@ -41,11 +43,12 @@
 // usable gives the records of servers that may be used, by name. Of two at one
 // address, the one that became known last has it: the other has ended without a word, and is
 // found silent only later, or never if a heartbeat of it was held up. The later one would be
-// left without work if that news of the earlier one took the address from it.
-func usable(records []hingeannounce.Record) []hingeannounce.Record {
+// left without work if that news of the earlier one took the address from it. A server that fits no
+// service takes nobody's address: what it says may come from anybody.
+func usable(t *hingeroutes.Table, records []hingeannounce.Record) []hingeannounce.Record {
 	holder := make(map[string]hingeannounce.Record, len(records))
 	for _, r := range records {
-		if r.Usable() {
+		if r.Usable() && fits(t, r.Announcement) {
 			holder[r.Announcement.Address] = r
 		}
 	}
@@ -54,6 +57,15 @@
 	})
 }
 
+// fits reports whether the configuration names a server's service, with engines if the server is one.
+func fits(t *hingeroutes.Table, a hingeannounce.Announcement) bool {
+	if t == nil {
+		return true
+	}
+	s, there := t.Services[a.Service]
+	return there && (s.Engine != nil) == (roleOf(a.Kind) != 0)
+}
+
 func (w *World) add(a hingeannounce.Announcement) {
 	w.addresses[a.Server] = a.Address
 	if role := roleOf(a.Kind); role != 0 {
--- a/internal/membership/hingeworld/world_test.go
+++ b/internal/membership/hingeworld/world_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 )
@@ -77,3 +78,67 @@
 		t.Fatal(diff)
 	}
 }
+
+// An engine crashes and starts again under the id that it had, at another address. Whoever sends it
+// streams must not believe of the new life what was learned of the old one: it may have been
+// left alone for failing, or be thought full of streams that ended with it.
+func TestNewLifeHasANameOfItsOwn(t *testing.T) {
+	d := hingeannounce.NewDirectory("control-1")
+	old := beat("engine", 9)
+	old.Incarnation = 100
+	d.Hear(began, old)
+	if diff := cmp.Diff([]hingeids.ServerID{"engine#100"}, used(d)); diff != "" {
+		t.Fatal(diff)
+	}
+	reborn := beat("engine", 1)
+	reborn.Incarnation = 200
+	reborn.Address = "10.0.0.2:80"
+	d.Hear(began.Add(time.Second), reborn)
+	if diff := cmp.Diff([]hingeids.ServerID{"engine#200"}, used(d)); diff != "" {
+		t.Fatal(diff)
+	}
+	w := Build(nil, d.Since(0))
+	if a, _ := w.Address("engine#200"); a != "10.0.0.2:80" {
+		t.Fatalf("the new life is at %q", a)
+	}
+	if a, there := w.Address("engine#100"); there {
+		t.Fatalf("the old life still is at %q", a)
+	}
+}
+
+// Another writer announces a server of a service that nobody configured, or a plain replica of a service of engines,
+// at the address of a good engine. If it took the address, the engine would get no work for as
+// long as the writer goes on.
+func TestServerThatFitsNoServiceTakesNoAddress(t *testing.T) {
+	table := &hingeroutes.Table{
+		Services: map[hingeids.Service]hingeroutes.Service{
+			fleetService: {
+				Engine: &hingeroutes.Engine{},
+			},
+		},
+	}
+	for _, other := range []hingeannounce.Announcement{
+		{
+			Service: "nobody's",
+			Kind:    hingeannounce.Decode,
+		},
+		{
+			Service: fleetService,
+			Kind:    hingeannounce.Service,
+		},
+	} {
+		d := hingeannounce.NewDirectory("control-1")
+		d.Hear(began, beat("engine", 1))
+		other.Server = "other"
+		other.Incarnation = 1
+		other.Address = "10.0.0.1:80"
+		d.Hear(began.Add(time.Second), other)
+		w := Build(table, d.Since(0))
+		if a, _ := w.Address("engine"); a != "10.0.0.1:80" {
+			t.Errorf("%+v leaves the engine at %q", other, a)
+		}
+		if len(w.Replicas(fleetService)) != 1 {
+			t.Errorf("%+v: replicas %+v", other, w.Replicas(fleetService))
+		}
+	}
+}
--- a/internal/observe/hingeevents/membership.go
+++ b/internal/observe/hingeevents/membership.go
@@ -8,6 +8,8 @@
 	HostOver     Number = 303
 	ServerUsable Number = 310
 	ServerGone   Number = 311
+	// AnnouncementRefused is recorded once a second at most.
+	AnnouncementRefused Number = 312
 )
 
 var membershipEntries = []Entry{
@@ -49,4 +51,11 @@
 		Text:     "A backend server leaves or has been silent too long; it gets no new work.",
 		Do:       "If nobody shut it down, look at the server and its announcements.",
 	},
+	{
+		Number:   AnnouncementRefused,
+		Name:     "announcementRefused",
+		Severity: Warning,
+		Text:     "What came as an announcement names no backend server that could be used; count is how many came since the last of these lines.",
+		Do:       "Look who writes to the control hosts: detail has what is wrong with the last one.",
+	},
 }
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -42,9 +42,6 @@
 	idleCost = 0.2
 	// orderTime bounds an order's way to an engine; it is well within the leader's lease.
 	orderTime = 300 * time.Millisecond
-	// settle is how long a new leader gives no orders: those of the one before
-	// are over then, and engines never hear two issuers by turns.
-	settle = 4 * time.Second
 	// changeWait is how long an engine that was ordered to change is left out of
 	// placing at most, until it announces its new role.
 	changeWait = 15 * time.Second
@@ -57,9 +54,7 @@
 	shifters map[hingeids.Service]*hingeshift.Shifter
 	// changing are the engines under orders.
 	changing map[hingeids.ServerID]change
-	// ledSince is when this host began to lead, in its term.
-	ledSince time.Time
-	term     hingeids.Fence
+	tenure   tenure
 }
 
 // change is an engine on its way to another role.
@@ -122,11 +117,7 @@
 		r.stepDown()
 		return
 	}
-	if r.ledSince.IsZero() || r.term != term {
-		r.ledSince = now
-		r.term = term
-	}
-	if now.Sub(r.ledSince) < settle {
+	if !r.tenure.settled(now, term, r.control.options.IssuerPause) {
 		return
 	}
 	r.control.settled.Store(&term)
@@ -145,7 +136,7 @@
 }
 
 func (r *roles) stepDown() {
-	r.ledSince = time.Time{}
+	r.tenure = tenure{}
 	if len(r.changing) == 0 && len(r.shifters) == 0 {
 		return
 	}
@@ -240,7 +231,7 @@
 	}
 	r.control.options.Recorder.Record(time.Now(), hingeevents.RoleShiftDecided, hingeevents.Fields{
 		Server: shift.Server,
-		Fence:  r.term,
+		Fence:  r.tenure.term,
 		Detail: string(shift.To),
 	})
 }
@@ -283,7 +274,7 @@
 			ordered = append(ordered, hingeorders.Engine{
 				ID:          e.Server,
 				Incarnation: 1,
-				ChecksFence: true,
+				ChecksFence: r.control.options.ChecksFence,
 			})
 		}
 	}
