Learn how fast engines make and read tokens, keep streams in a book for each engine, and read prompts beside decode where prefill is short

Cause: paces of one deployment's engines stood as constants (1,500 tokens a second, 55,000 read, a pause of 60 ms between events, a backlog of 200 ms, demand believed after 1.5 s); here a stream makes 274 a second. A placement looked at all streams for each engine.

Change: the first reading of a pace stands for itself (estimate), later ones move it; an engine that has shown nothing is taken to be like the others; before anything was read the operator's longest pause says what is asked of an engine. Bounds and waits follow from the pace and the mean prompt. Streams are listed by engine, and an engine is looked at closely only if a bound below its peak is better than the best so far. A want that finds memory and no prefill waits by what is read, not by what ends; a decode engine with room for another like it reads its prompt, if the pause (with a margin of 1.3) keeps its streams on time. Late wants aren't refused while engines are still being heard of.

A test of an engine that was away counted streams that still waited for prefill; they are withdrawn there now, the bound is the same.

--- a/internal/decide/hingefleet/demand.go
+++ b/internal/decide/hingefleet/demand.go
@@ -9,35 +9,41 @@
 type Demand struct {
 	Prefill float64
 	Decode  float64
+	// Reads says that engines that decode can work prompts of the usual size without making their
+	// streams late.
+	Reads bool
 }
 
 // demandTime is the time over which demand is averaged: longer than a stream's life of some
 // seconds, so that single streams don't move it, and shorter than a change of role takes.
 const demandTime = 5 * time.Second
 
-// believedAfter is how long after the first want demand is believed: some fifteen streams of
-// today's demand. A role takes six seconds to change, and the sooner that begins, the less of the first burst it misses.
-const believedAfter = 1500 * time.Millisecond
+// believedAfter is how many wants it takes for demand to be believed: the mean of fifteen whose sizes are spread by
+// half is right within an eighth. A role takes seconds to change, and the sooner that begins, the less of the
+// first burst it misses.
+const believedAfter = 15
 
 // demand averages what is asked for, whatever becomes of it: at saturation
 // only that tells which role is short.
 type demand struct {
-	// prompts is prompt tokens, held is token-seconds of decode memory; both fade.
+	// prompts is prompt tokens; held is what decode memory they take, in tokens times the tokens made
+	// meanwhile, so that a pace that is learned later counts for all of it. Both fade.
 	prompts float64
 	held    float64
+	wants   int
 	at      time.Time
 	// since is when the first want came.
 	since time.Time
 }
 
-func (d *demand) add(now time.Time, w Want, tokensPerSecond float64) {
+func (d *demand) add(now time.Time, w Want) {
 	d.fade(now)
 	if d.since.IsZero() {
 		d.since = now
 	}
-	life := float64(w.Expected) / tokensPerSecond
+	d.wants++
 	d.prompts += float64(w.Prompt)
-	d.held += (float64(w.Prompt) + float64(w.Expected)/2) * life
+	d.held += (float64(w.Prompt) + float64(w.Expected)/2) * float64(w.Expected)
 }
 
 func (d *demand) fade(now time.Time) {
@@ -59,12 +65,10 @@
 	f.demand.fade(now)
 	span := min(now.Sub(f.demand.since), demandTime)
 	memory := 0.0
-	for _, e := range f.engines {
-		if e.Role == Decode {
-			memory = max(memory, float64(e.Memory))
-		}
+	for _, e := range f.decoders {
+		memory = max(memory, float64(e.Memory))
 	}
-	if f.demand.since.IsZero() || now.Sub(f.demand.since) < believedAfter || memory == 0 {
+	if f.demand.wants < believedAfter || memory == 0 || span <= 0 {
 		return Demand{}
 	}
 	// An average that fades holds what came within its time, less of it while it is young.
@@ -73,22 +77,20 @@
 		full = demandTime.Seconds()
 	}
 	return Demand{
-		Prefill: f.demand.prompts / full / prefillPace,
-		Decode:  f.demand.held / full / (memory * memoryShare),
+		Prefill: f.demand.prompts / full / f.paces.reads(),
+		Decode:  f.demand.held / f.paces.made() / full / (memory * memoryShare),
+		Reads:   f.readsBeside(),
 	}
 }
 
-// pace is the mean pace of the decode engines.
-func (f *Fleet) pace() float64 {
-	sum, n := 0.0, 0
-	for _, e := range f.engines {
-		if e.Role == Decode {
-			sum += e.tokensPerSecond
-			n++
-		}
+// readsBeside reports whether the pause that a prompt of the usual size makes in an engine's streams is short
+// enough for them to stay on time.
+func (f *Fleet) readsBeside() bool {
+	if f.paces.gap == 0 {
+		return true
 	}
-	if n == 0 {
-		return startPace
+	for _, e := range f.decoders {
+		return f.pause(e, f.paces.usualReading()) < f.paces.gap
 	}
-	return sum / float64(n)
+	return false
 }
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -39,6 +39,8 @@
 //     goes only where there are none.
 //  8. What is believed of streams comes from the hosts that own them; between two
 //     reports a stream is taken to go on at its engine's pace.
+//  9. How fast engines make and read tokens, and how long prompts are, is learned from what they do:
+//     engines differ by a factor of a hundred, and no figure of one deployment stands for another.
 package hingefleet
 
 import (
@@ -66,6 +68,8 @@
 	Role   Role
 	Slots  hingeids.Slots
 	Memory hingeids.Tokens
+	// Event is the tokens that one event of a stream carries.
+	Event hingeids.Tokens
 }
 
 // Want is a stream that asks for engines.
@@ -126,38 +130,19 @@
 	Made hingeids.Tokens `cbor:"5,keyasint,omitempty"`
 }
 
-// stream is a stream in flight.
-type stream struct {
-	owner    hingeids.HostID
-	prefill  hingeids.ServerID
-	decode   hingeids.ServerID
-	prompt   hingeids.Tokens
-	expected hingeids.Tokens
-	made     hingeids.Tokens
-	// madeAt is when made was true, or when the first token is expected.
-	madeAt time.Time
-	// granted is when it was placed here; zero once its owner has reported it.
-	granted time.Time
-}
-
 // engine is an engine with what was learned of it.
 type engine struct {
 	Engine
-	// tokensPerSecond is the pace of one stream, learned from reports.
-	tokensPerSecond float64
-	prompts         prompts
-	health          health
+	// pace is the tokens that it makes a second for one stream.
+	pace    estimate
+	prompts prompts
+	health  health
 	// readAt is when a decode engine was given a prompt to work last.
 	readAt time.Time
+	*book
 }
 
 const (
-	// startPace is a stream's pace before anything was learned, in tokens a second: a step
-	// of 0.6 to 0.7 ms, as engines of today's two deployments take it.
-	startPace = 1500
-	// paceWeight is the weight of a new reading of the pace. One reading spans
-	// half a second; five of them move the pace to two thirds of a change.
-	paceWeight = 0.2
 	// prefillStart is the time from a grant to the first token beside the reading:
 	// two round trips, the transfer and the first step.
 	prefillStart = 30 * time.Millisecond
@@ -168,20 +153,35 @@
 	// report. A live one reports twice a second; a dead one's connections to its engines
 	// are closed by then.
 	ownerSilence = 2500 * time.Millisecond
+	// expireEvery is how often what is over is looked for: both times above are far longer, and with
+	// thousands of streams it would be most of a decision.
+	expireEvery = 100 * time.Millisecond
 )
 
 // Fleet is the engines of one service and the streams on them.
 type Fleet struct {
 	engines map[hingeids.ServerID]*engine
-	streams map[StreamID]*stream
-	queue   []*Want
-	owners  map[hingeids.HostID]time.Time
+	// decoders and prefillers are the engines of each role, by name.
+	decoders   []*engine
+	prefillers []*engine
+	paces      paces
+	streams    map[StreamID]*stream
+	books      map[hingeids.ServerID]*book
+	owners     map[hingeids.HostID]*owner
+	// reports counts the reports, so that each stream knows in which it was named last.
+	reports   uint64
+	expiredAt time.Time
+	queue     []*Want
 	// arrivals are the newest wants, for rule 5.
 	arrivals []time.Time
-	// tried are the wants that found no room in the present step.
-	tried   []attempt
-	scratch []load
-	demand  demand
+	known    rates
+	knownAt  time.Time
+	// tried are the wants that found no room in the present step; unreadable says that all engines that
+	// prefill have enough to read.
+	tried      []attempt
+	unreadable bool
+	scratch    []load
+	demand     demand
 	// begun is when the first engine was known.
 	begun time.Time
 	// heard is when an engine of each zone was last known to answer.
@@ -195,7 +195,8 @@
 	return &Fleet{
 		engines: make(map[hingeids.ServerID]*engine),
 		streams: make(map[StreamID]*stream),
-		owners:  make(map[hingeids.HostID]time.Time),
+		books:   make(map[hingeids.ServerID]*book),
+		owners:  make(map[hingeids.HostID]*owner),
 		heard:   make(map[hingeids.Zone]time.Time),
 		silent:  make(map[hingeids.Zone]bool),
 	}
@@ -204,92 +205,48 @@
 // SetEngines takes the engines that may be used now; what was learned of those
 // that stay is kept.
 func (f *Fleet) SetEngines(list []Engine) {
+	if f.same(list) {
+		return
+	}
 	old := f.engines
 	f.engines = make(map[hingeids.ServerID]*engine, len(list))
+	f.decoders, f.prefillers = nil, nil
 	for _, e := range list {
 		k := old[e.Server]
 		if k == nil {
 			k = &engine{
-				tokensPerSecond: startPace,
-				prompts:         newPrompts(),
+				prompts: newPrompts(&f.paces),
 			}
 		}
 		k.Engine = e
+		k.book = f.book(e.Server)
 		f.engines[e.Server] = k
-	}
-}
-
-// Report takes what an owner says of all its streams (rule 8).
-func (f *Fleet) Report(now time.Time, owner hingeids.HostID, list []Progress) {
-	f.owners[owner] = now
-	listed := make(map[StreamID]bool, len(list))
-	for _, p := range list {
-		listed[p.ID] = true
-		f.progress(now, owner, p)
-	}
-	for id, s := range f.streams {
-		if s.owner == owner && !listed[id] && s.granted.IsZero() {
-			f.forget(id)
+		switch e.Role {
+		case Decode:
+			f.decoders = append(f.decoders, k)
+		case Prefill:
+			f.prefillers = append(f.prefillers, k)
 		}
 	}
+	f.dropBooks()
 }
 
-// forget drops a stream and what it has waiting at an engine that prefills.
-func (f *Fleet) forget(id StreamID) {
-	if s := f.streams[id]; s != nil {
-		f.dropPrompt(id, s)
-	}
-	delete(f.streams, id)
-}
-
-func (f *Fleet) dropPrompt(id StreamID, s *stream) {
-	if e := f.engines[s.prefill]; e != nil {
-		e.prompts.drop(id)
+// same reports whether the engines are those that are known, which they are at most steps.
+func (f *Fleet) same(list []Engine) bool {
+	if len(list) != len(f.engines) {
+		return false
 	}
-}
-
-func (f *Fleet) progress(now time.Time, owner hingeids.HostID, p Progress) {
-	s := f.streams[p.ID]
-	if s == nil || s.decode != p.Decode {
-		f.forget(p.ID)
-		s = &stream{
-			madeAt: now,
+	for _, e := range list {
+		if k := f.engines[e.Server]; k == nil || k.Engine != e {
+			return false
 		}
-		f.streams[p.ID] = s
-	}
-	if e := f.engines[p.Decode]; e != nil && p.Made > s.made && s.made > 0 {
-		e.learnPace(now.Sub(s.madeAt), p.Made-s.made)
-	}
-	s.owner = owner
-	s.decode = p.Decode
-	s.prompt = p.Prompt
-	s.expected = p.Expected
-	s.granted = time.Time{}
-	if p.Made > 0 {
-		f.dropPrompt(p.ID, s)
-		s.made = p.Made
-		s.madeAt = now
 	}
+	return true
 }
 
-func (e *engine) learnPace(took time.Duration, made hingeids.Tokens) {
-	// Shorter spans measure the events' own rhythm more than the pace.
-	if took < 100*time.Millisecond {
-		return
-	}
-	reading := float64(made) / took.Seconds()
-	e.tokensPerSecond += paceWeight * (reading - e.tokensPerSecond)
-}
-
-// Cancel forgets a stream or a want whose caller is gone.
-func (f *Fleet) Cancel(id StreamID) {
-	f.forget(id)
-	for i, w := range f.queue {
-		if w.ID == id {
-			f.queue = append(f.queue[:i], f.queue[i+1:]...)
-			return
-		}
-	}
+// paceOf is the tokens that an engine makes a second for one stream.
+func (f *Fleet) paceOf(e *engine) float64 {
+	return e.pace.or(f.paces.made())
 }
 
 // Streams counts the streams believed to be in flight, Waiting the wants.
--- a/internal/decide/hingefleet/fleet_test.go
+++ b/internal/decide/hingefleet/fleet_test.go
@@ -35,6 +35,7 @@
 		sum.Failed += o.Failed
 		sum.Preempted += o.Preempted
 		sum.RefusedLate += o.RefusedLate
+		sum.OwnRead += o.OwnRead
 	}
 	return sum
 }
@@ -174,6 +175,17 @@
 	}
 }
 
+// taught gives a fleet that knows how fast engines are, as it does after the first streams of a day.
+func taught() *Fleet {
+	f := New()
+	for range boundAfter {
+		f.paces.decode.take(simPace, fleetWeight)
+		f.paces.read.take(simReads*simPace, fleetWeight)
+		f.paces.prompt.take(simPrompt, fleetWeight)
+	}
+	return f
+}
+
 func wantOf(id StreamID, now time.Time) Want {
 	return Want{
 		ID:       id,
@@ -190,7 +202,7 @@
 // An entry host is killed. What its streams held is free again once it has been silent
 // for a while, and not before: its engines may still be at work.
 func TestStreamsOfASilentOwnerAreForgotten(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	f.SetEngines(engines())
 	f.Report(now, "entry-1", []Progress{
@@ -214,7 +226,7 @@
 // A grant is on its way when the next report of its owner leaves, which doesn't name it
 // yet. If that ended it, the same memory would be granted twice.
 func TestReportThatCrossesAGrantDoesNotEndIt(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	f.SetEngines(engines())
 	f.Offer(now, wantOf("a", now))
@@ -234,7 +246,7 @@
 // Half of the mean demand is asked for twice as long, and a want that waits is
 // offered again and again. Demand counts it once, in engines.
 func TestDemandIsWhatIsAskedFor(t *testing.T) {
-	f := New()
+	f := taught()
 	f.SetEngines(engineList(loadPattern{
 		prefills: 3,
 		decodes:  6,
@@ -260,7 +272,7 @@
 }
 
 func BenchmarkStep(b *testing.B) {
-	f := New()
+	f := taught()
 	now := simStart
 	f.SetEngines(engineList(loadPattern{
 		prefills: 15,
--- a/internal/decide/hingefleet/grant_test.go
+++ b/internal/decide/hingefleet/grant_test.go
@@ -14,7 +14,7 @@
 // An engine dies in the middle of answers. Their callers have read half of them, so they
 // go before those who have read nothing.
 func TestMovedStreamGoesFirst(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	f.SetEngines(engines()[:2])
 	first := wantOf("first", now)
@@ -37,7 +37,7 @@
 // at once. Callers that were sent away for some seconds then would come back late, to engines that
 // had been there a moment after.
 func TestFleetThatHasJustBegunWaitsForItsEngines(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	list := engines()
 	f.SetEngines(list[:2])
@@ -72,7 +72,7 @@
 // A prompt's KV cache is there for half a second. The engine it was meant for can't
 // be reached; another takes it, or the caller hears at once that none can.
 func TestCachedWantIsDecidedAtOnce(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	f.SetEngines(engines())
 	w := wantOf("a", now)
@@ -95,7 +95,7 @@
 // front of its caller, and its prefill is lost. At the mean demand four in five streams
 // are to be in their own zone, though callers of the zones come in clumps.
 func TestStreamsStayInTheirZone(t *testing.T) {
-	f := New()
+	f := taught()
 	list := engineList(loadPattern{
 		prefills: 3,
 		decodes:  6,
@@ -134,7 +134,7 @@
 // All callers come from one zone, whose engines are a third. They are to use the others' memory
 // too, and not to wait in front of their own full ones.
 func TestCrowdedZoneUsesTheOthersEngines(t *testing.T) {
-	f := New()
+	f := taught()
 	f.SetEngines(engineList(loadPattern{
 		prefills: 3,
 		decodes:  6,
@@ -160,7 +160,7 @@
 // read when it should be. If that was taken for read, more and more would be handed to it: a queue of
 // a dozen prompts, each first event late by a second, while wants wait that could go first.
 func TestPromptsThatAreNotReadCountAsWork(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	list := engines()
 	list[1].Memory = 1_000_000
@@ -186,7 +186,7 @@
 // Callers there would be refused for as long as it lasts, in front of engines that can
 // work a prompt themselves.
 func TestDecodeEngineWorksThePromptWhereNoneElseCan(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	f.SetEngines(engines())
 	f.Note(now, Note{
--- a/internal/decide/hingefleet/health_test.go
+++ b/internal/decide/hingefleet/health_test.go
@@ -15,7 +15,7 @@
 func TestEngineIsLeftAlone(t *testing.T) {
 	now := simStart
 	away := func(outcomes ...Outcome) time.Duration {
-		f := New()
+		f := taught()
 		f.SetEngines(engines())
 		for _, o := range outcomes {
 			f.Note(now, Note{
@@ -42,7 +42,7 @@
 // waits would go there at once; if it is still dark, each of those callers loses a fifth of a
 // second and all go elsewhere together.
 func TestEngineThatWasAwayIsTriedWithOneStream(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	list := engines()
 	list[2].Zone = "another"
@@ -68,6 +68,8 @@
 		return n
 	}
 	got := []int{granted("a", "b", "c")}
+	// What still waits for an engine that reads its prompt isn't counted below.
+	f.Withdraw()
 	now = now.Add(trialTime / 2)
 	f.Note(now, Note{
 		Server:  "decode-2",
@@ -84,7 +86,7 @@
 // them answers: the zone is back, and the others must not stay unused for seconds, while callers
 // wait in front of the engines of other zones.
 func TestEnginesAreTriedWhenTheirZoneIsBack(t *testing.T) {
-	f := New()
+	f := taught()
 	f.SetEngines(engines())
 	now := simStart
 	for range 4 {
@@ -112,7 +114,7 @@
 // A zone is cut off with two of four decode engines. What one stream finds out
 // counts for the other engine too: it gets one stream, not a share of all.
 func TestUnreachedEngineCastsDoubtOnItsZone(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	var list []Engine
 	for i := range 5 {
@@ -152,7 +154,7 @@
 // Engines of a large zone crash one after the other, while the others go on answering. The zone isn't cut off:
 // its engines must not be held to one stream at a time for as long as some are down.
 func TestCrashedEnginesCastNoDoubtOnAZoneThatAnswers(t *testing.T) {
-	f := New()
+	f := taught()
 	now := simStart
 	list := engines()
 	for i := range list {
@@ -180,7 +182,7 @@
 // An engine's transfers have turned slow: it refuses each KV cache after a wait of most of a
 // second. Three streams a second would go on finding that out.
 func TestEngineThatRefusesAgainAndAgainIsLeftLonger(t *testing.T) {
-	f := New()
+	f := taught()
 	f.SetEngines(engines())
 	now := simStart
 	var got []time.Duration
--- a/internal/decide/hingefleet/prompts.go
+++ b/internal/decide/hingefleet/prompts.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// prefillPace is the prompt tokens that an engine reads a second, before anything was learned.
-	prefillPace = 55000
 	// readWeight is the weight of a new reading of that pace: three prompts move it to two thirds
 	// of a change, which is a third of a second at half load.
 	readWeight = 0.3
@@ -19,10 +17,15 @@
 	// leastService is the shortest time between two ends that says something of the pace:
 	// notes of several prompts come together.
 	leastService = 10 * time.Millisecond
-	// slowest and fastest bound a reading: one stalled prompt doesn't look like an hour's work,
-	// and two ends that were told of together not like none.
-	slowest = prefillPace / 20
-	fastest = prefillPace * 1.5
+	// slowest and fastest bound a reading, in shares of what the engines read: one stalled prompt
+	// doesn't look like an hour's work, and two ends that were told of together not like none.
+	slowest = 0.05
+	fastest = 1.5
+	// boundAfter is how many readings there must have been for that: what the first ones say is all that is known.
+	boundAfter = 5
+	// untried is how much faster than the others an engine is taken to be that hasn't read a prompt yet: of two that
+	// look alike it is taken, so that each is known after its first prompt.
+	untried = 1.05
 	// handOver is what a prompt that comes to an idle engine takes beside its reading: the grant's way to
 	// its owner, a connection, and the note's way back.
 	handOver = 20 * time.Millisecond
@@ -33,6 +36,8 @@
 // prompts is the work of an engine that prefills, as far as it was handed out here.
 type prompts struct {
 	waiting map[StreamID]prompt
+	// usual is what was learned of all engines.
+	usual *paces
 	// pace is the tokens that it reads a second, learnedAt when that was last seen.
 	pace      float64
 	learnedAt time.Time
@@ -46,10 +51,10 @@
 	since  time.Time
 }
 
-func newPrompts() prompts {
+func newPrompts(usual *paces) prompts {
 	return prompts{
 		waiting: make(map[StreamID]prompt),
-		pace:    prefillPace,
+		usual:   usual,
 	}
 }
 
@@ -77,10 +82,18 @@
 	if !read || took < leastService {
 		return
 	}
-	q.pace = q.paceAt(now)
-	reading := min(max(float64(p.tokens)/took.Seconds(), slowest), fastest)
-	q.pace += readWeight * (reading - q.pace)
+	reading := float64(p.tokens) / took.Seconds()
+	if usual := q.usual.reads(); q.usual.read.readings >= boundAfter {
+		reading = min(max(reading, slowest*usual), fastest*usual)
+	}
+	if q.learnedAt.IsZero() {
+		q.pace = reading
+	} else {
+		q.pace = q.paceAt(now)
+		q.pace += readWeight * (reading - q.pace)
+	}
 	q.learnedAt = now
+	q.usual.read.takeUpper(reading, readWeight)
 }
 
 // paceAt is the pace as far as it is still believed.
@@ -89,7 +102,11 @@
 	if passed := now.Sub(q.learnedAt); passed > 0 {
 		believed = fading(passed, paceFades)
 	}
-	return prefillPace + believed*(q.pace-prefillPace)
+	usual := q.usual.reads()
+	if q.learnedAt.IsZero() {
+		return untried * usual
+	}
+	return usual + believed*(q.pace-usual)
 }
 
 // backlog is how long the engine still reads at what it has. Of the time since its last end only as
@@ -117,12 +134,3 @@
 func (q *prompts) reading(now time.Time, t hingeids.Tokens) time.Duration {
 	return spanOf(float64(t) / q.paceAt(now))
 }
-
-// reading is how long an engine of the usual pace reads a prompt.
-func reading(t hingeids.Tokens) time.Duration {
-	return spanOf(float64(t) / prefillPace)
-}
-
-func spanOf(seconds float64) time.Duration {
-	return time.Duration(seconds * float64(time.Second))
-}
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// stepBefore is how long before its caller loses patience a want is given
-	// up: what the prefill and the way to the first event take.
-	stepBefore = 400 * time.Millisecond
 	// arrivalWindow is the time over which arrivals are counted for rule 5: a few
 	// dozen streams, and short beside a burst of some seconds.
 	arrivalWindow = time.Second
@@ -26,11 +23,21 @@
 func (f *Fleet) Offer(now time.Time, w Want) {
 	f.queue = append(f.queue, &w)
 	if now.Sub(w.Arrived) < firstOffer && !w.Moved && !w.Cached {
-		f.demand.add(now, w, f.pace())
+		f.learnWant(w)
+		f.demand.add(now, w)
 		f.arrivals = append(f.arrivals, now)
 	}
 }
 
+// learnWant takes what a new want says of all.
+func (f *Fleet) learnWant(w Want) {
+	f.paces.prompt.take(float64(w.Prompt), fleetWeight)
+	f.paces.gap = w.Gap
+	if w.Gap > 0 && len(f.decoders) > 0 {
+		f.paces.least = float64(f.decoders[0].Event) / w.Gap.Seconds()
+	}
+}
+
 // Withdraw takes all wants back that wait, and names them.
 func (f *Fleet) Withdraw() []StreamID {
 	var out []StreamID
@@ -53,6 +60,7 @@
 	f.expire(now)
 	f.order(now)
 	f.tried = f.tried[:0]
+	f.unreadable = false
 	rates := f.rates(now)
 	var out []Decision
 	kept := f.queue[:0]
@@ -69,38 +77,13 @@
 	return out
 }
 
-// expire forgets grants and owners that nobody speaks of any more.
-func (f *Fleet) expire(now time.Time) {
-	for id, s := range f.streams {
-		if !s.granted.IsZero() {
-			if now.Sub(s.granted) > unreported {
-				f.forget(id)
-			}
-			continue
-		}
-		if now.Sub(f.owners[s.owner]) > ownerSilence {
-			f.forget(id)
-		}
-	}
-	for owner, at := range f.owners {
-		if now.Sub(at) > ownerSilence {
-			delete(f.owners, owner)
-		}
-	}
-	from := 0
-	for from < len(f.arrivals) && now.Sub(f.arrivals[from]) > arrivalWindow {
-		from++
-	}
-	f.arrivals = f.arrivals[from:]
-}
-
 // order is rules 3 and 4.
 func (f *Fleet) order(now time.Time) {
 	rank := func(w *Want) int {
 		switch {
 		case w.Moved || w.Cached:
 			return 0
-		case w.onTime(now):
+		case f.onTime(now, w):
 			return 1
 		default:
 			return 2
@@ -112,8 +95,26 @@
 }
 
 // onTime reports whether a want that is granted now can meet its target.
-func (w *Want) onTime(now time.Time) bool {
-	return !now.Add(reading(w.Prompt) + prefillStart).After(w.Arrived.Add(w.Target))
+func (f *Fleet) onTime(now time.Time, w *Want) bool {
+	return !now.Add(f.paces.starting(w.Prompt)).After(w.Arrived.Add(w.Target))
+}
+
+// lastStart is how long before its caller loses patience a want is given up: what the prompts
+// ahead of it, its own and the way to the first event take.
+func (f *Fleet) lastStart(w *Want) time.Duration {
+	return f.mostBacklog() + f.paces.reading(w.Prompt) + prefillStart
+}
+
+// readWait is how long until so many prompts have gone to engines that prefill. While these are what is short, there
+// is memory, and what ends at engines that decode says nothing of the wait.
+func (f *Fleet) readWait(now time.Time, prompts int) time.Duration {
+	pace := 0.0
+	for _, e := range f.prefillers {
+		if e.health.usable(now) {
+			pace += e.prompts.paceAt(now)
+		}
+	}
+	return span(float64(prompts)*f.paces.prompt.or(0), pace)
 }
 
 // decide grants, refuses, or lets wait behind as many others (rule 5).
@@ -128,12 +129,17 @@
 			Refused: true,
 		}, true
 	}
-	until := w.Arrived.Add(w.Patience - stepBefore)
+	until := w.Arrived.Add(w.Patience - f.lastStart(w))
 	wait := r.wait(ahead + 1)
+	if f.unreadable {
+		wait = f.readWait(now, ahead+1)
+	}
 	switch {
-	case w.Moved && now.Before(until):
+	case f.onTime(now.Add(wait), w):
+		return Decision{}, false
+	case (w.Moved || f.learns(now)) && now.Before(until):
 		return Decision{}, false
-	case w.onTime(now.Add(wait)) || f.young(now) && w.onTime(now):
+	case f.unreadable && now.Add(wait).Before(until):
 		return Decision{}, false
 	case r.spare() && now.Add(r.lateWait(ahead+1)).Before(until):
 		return Decision{}, false
--- a/internal/decide/hingefleet/rates.go
+++ b/internal/decide/hingefleet/rates.go
@@ -12,19 +12,40 @@
 	arrival float64
 }
 
+// ratesEvery is how often the rates are worked out: a step of those that wait.
+const ratesEvery = 20 * time.Millisecond
+
 // rates predicts what drains: each stream gives its place back once in its life. Counted
 // ends would say nothing in the first seconds, and too little after a lull.
 func (f *Fleet) rates(now time.Time) rates {
+	if now.Sub(f.knownAt) < ratesEvery {
+		return f.known
+	}
+	f.forgetArrivals(now)
 	var r rates
-	for _, s := range f.streams {
-		if e := f.engines[s.decode]; e != nil && !now.Before(e.health.awayTill) {
-			r.drain += e.tokensPerSecond / float64(max(s.expected, 1))
+	for _, e := range f.decoders {
+		if now.Before(e.health.awayTill) {
+			continue
+		}
+		pace := f.paceOf(e)
+		for _, s := range e.streams {
+			r.drain += pace / float64(max(s.expected, 1))
 		}
 	}
 	r.arrival = float64(len(f.arrivals)) / arrivalWindow.Seconds()
+	f.known = r
+	f.knownAt = now
 	return r
 }
 
+func (f *Fleet) forgetArrivals(now time.Time) {
+	from := 0
+	for from < len(f.arrivals) && now.Sub(f.arrivals[from]) > arrivalWindow {
+		from++
+	}
+	f.arrivals = f.arrivals[from:]
+}
+
 // wait is how long until so many streams have ended.
 func (r rates) wait(ends int) time.Duration {
 	return span(float64(ends), r.drain)
@@ -53,7 +74,7 @@
 func (f *Fleet) retryAfter(now time.Time, id StreamID, wait time.Duration, r rates) time.Duration {
 	after := min(max(wait, shortestRetry), longestRetry)
 	switch {
-	case f.young(now):
+	case f.learns(now):
 		after = learning
 	case !r.spare():
 		after = longestRetry
@@ -62,6 +83,12 @@
 	return time.Duration(float64(after) * (1 - retrySpread*lot))
 }
 
+// learns reports whether too little is known yet to refuse anybody who can still be on time: not all engines, or not
+// how fast they are.
+func (f *Fleet) learns(now time.Time) bool {
+	return f.young(now) || f.paces.decode.readings == 0
+}
+
 // young reports whether engines may exist that haven't been heard of yet: after all hosts have lost
 // power, they announce themselves one by one. What the first of them has no room for is no
 // saturation, and to send callers away for the length of a burst would keep them from engines that
--- a/internal/decide/hingefleet/room.go
+++ b/internal/decide/hingefleet/room.go
@@ -45,19 +45,21 @@
 }
 
 // peak gives the highest memory predicted for streams that run side by side at
-// one pace. Memory is highest just before a stream ends, so only those moments
-// are looked at.
-func peak(list []load) hingeids.Tokens {
+// one pace, and the tokens that each makes until then. Memory is highest just before a stream ends, so only those
+// moments are looked at.
+func peak(list []load) (highest, until hingeids.Tokens) {
 	slices.SortFunc(list, func(a, b load) int {
 		return cmp.Compare(b.left, a.left)
 	})
-	highest, held := hingeids.Tokens(0), hingeids.Tokens(0)
+	held := hingeids.Tokens(0)
 	for i, l := range list {
 		// Those with more left than this one are still there when it ends.
 		held += l.held
-		highest = max(highest, held+hingeids.Tokens(i+1)*l.left)
+		if at := held + hingeids.Tokens(i+1)*l.left; at > highest {
+			highest, until = at, l.left
+		}
 	}
-	return highest
+	return highest, until
 }
 
 // acrossZones is how much fuller, as a share of its memory, an engine of the stream's own zone
@@ -68,6 +70,51 @@
 // (simulation). On loaded days with a cut 0.15, 0.2 and 0.3 earned 0.016 to 0.026 of all worth more than 0.
 const acrossZones = 0.2
 
+// outlook is what is predicted of an engine's memory without a further stream: its peak, and how many tokens
+// each of its streams makes until then.
+type outlook struct {
+	peak  hingeids.Tokens
+	until hingeids.Tokens
+	at    time.Time
+	known bool
+}
+
+// outlookLasts is how long an outlook is used while nothing is reported of the engine: within it a stream
+// makes a part of an event, and memory that is given back is seen that much later.
+const outlookLasts = 50 * time.Millisecond
+
+// least gives a bound below an engine's peak with one more stream. It is exact where the
+// stream outlives the moment at which memory is highest, which is soon where memory is short.
+func (o outlook) least(w *Want) hingeids.Tokens {
+	if w.Expected >= o.until {
+		return o.peak + w.Prompt + o.until
+	}
+	return o.peak
+}
+
+// outlookOf gives an engine's outlook, worked out anew if it is old.
+func (f *Fleet) outlookOf(now time.Time, e *engine) outlook {
+	o := &e.outlook
+	if !o.known || now.Sub(o.at) > outlookLasts {
+		list := f.loads(now, e)
+		o.peak, o.until = peak(list)
+		o.at = now
+		o.known = true
+	}
+	return *o
+}
+
+// loads gives the loads of an engine's streams, in memory that the next call uses again.
+func (f *Fleet) loads(now time.Time, e *engine) []load {
+	pace := f.paceOf(e)
+	list := f.scratch[:0]
+	for _, s := range e.streams {
+		list = append(list, s.loadOf(now, pace))
+	}
+	f.scratch = list
+	return list
+}
+
 // room is a decode engine as one want sees it.
 type room struct {
 	engine *engine
@@ -75,66 +122,90 @@
 	// the same with what speaks against the engine.
 	share float64
 	rank  float64
-	slow  bool
 }
 
-// rooms gives the decode engines that a want could go to, the best first (rules 2 and 6).
-func (f *Fleet) rooms(now time.Time, w *Want) []room {
-	best := 0.0
-	for _, e := range f.engines {
-		if e.Role == Decode {
-			best = max(best, e.tokensPerSecond)
-		}
+// before orders rooms, the best first.
+func (r room) before(other room) bool {
+	if r.rank != other.rank {
+		return r.rank < other.rank
 	}
-	var out []room
-	for _, e := range f.engines {
-		if e.Role != Decode || !e.health.usable(now) || slices.Contains(w.Avoid, e.Server) {
-			continue
-		}
-		share, streams := f.predict(now, e, w)
-		life := time.Duration(float64(w.Expected) / e.tokensPerSecond * float64(time.Second))
-		if streams >= int(e.Slots) || now.Add(life).After(w.Deadline) {
+	return r.engine.Server < other.engine.Server
+}
+
+// room gives the decode engine that a want goes to, if one has room within a limit (rules 2 and 6). An engine is
+// looked at closely only if its outlook is better than the best so far, which of many is so for a few. May, if there,
+// says whether an engine that would have a share of its memory in use may be taken.
+func (f *Fleet) room(
+	now time.Time, w *Want, limit float64, may func(e *engine, share float64) bool,
+) (room, bool) {
+	fastest := 0.0
+	for _, e := range f.decoders {
+		fastest = max(fastest, f.paceOf(e))
+	}
+	var best room
+	for _, e := range f.decoders {
+		if !e.health.usable(now) || len(e.streams) >= int(e.Slots) {
 			continue
 		}
+		against := f.against(e, w, fastest)
 		r := room{
 			engine: e,
-			share:  share,
-			rank:   share,
-			slow:   e.tokensPerSecond < farSlower*best,
+			share:  share(f.outlookOf(now, e).least(w), e),
 		}
-		if e.Zone != w.Zone {
-			r.rank += acrossZones
+		r.rank = r.share + against
+		if r.share > limit || best.engine != nil && !r.before(best) || f.unfit(now, e, w) {
+			continue
 		}
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b room) int {
-		if a.slow != b.slow {
-			if b.slow {
-				return -1
-			}
-			return 1
+		r.share = f.predict(now, e, w)
+		r.rank = r.share + against
+		if may != nil && !may(e, r.share) {
+			continue
 		}
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.engine.Server, b.engine.Server))
-	})
-	return out
+		if r.share <= limit && (best.engine == nil || r.before(best)) {
+			best = r
+		}
+	}
+	return best, best.engine != nil
 }
 
-// predict gives the peak of an engine with one more stream, as a share of its memory, and
-// how many streams it has without it.
-func (f *Fleet) predict(now time.Time, e *engine, w *Want) (share float64, streams int) {
-	list := f.scratch[:0]
-	for _, s := range f.streams {
-		if s.decode == e.Server {
-			list = append(list, s.loadOf(now, e.tokensPerSecond))
-		}
+// slowRank is put on top of the rank of an engine that is far slower than the others: it comes after all of them.
+const slowRank = 100
+
+// against gives what speaks against an engine, as a share of its memory.
+func (f *Fleet) against(e *engine, w *Want, fastest float64) float64 {
+	rank := 0.0
+	if e.Zone != w.Zone {
+		rank += acrossZones
 	}
-	streams = len(list)
-	list = append(list, load{
+	if f.paceOf(e) < farSlower*fastest {
+		rank += slowRank
+	}
+	return rank
+}
+
+// unfit reports whether a want mustn't go to an engine, or couldn't end there in time. On a pace that is only
+// guessed nobody is turned away: what no stream tries is never learned.
+func (f *Fleet) unfit(now time.Time, e *engine, w *Want) bool {
+	if slices.Contains(w.Avoid, e.Server) {
+		return true
+	}
+	life := spanOf(float64(w.Expected) / f.paceOf(e))
+	return f.paces.decode.readings > 0 && now.Add(life).After(w.Deadline)
+}
+
+func share(t hingeids.Tokens, e *engine) float64 {
+	return float64(t) / float64(max(e.Memory, 1))
+}
+
+// predict gives the peak of an engine with one more stream, as a share of its memory.
+func (f *Fleet) predict(now time.Time, e *engine, w *Want) float64 {
+	list := append(f.loads(now, e), load{
 		held: w.Prompt,
 		left: w.Expected,
 	})
 	f.scratch = list
-	return float64(peak(list)) / float64(max(e.Memory, 1)), streams
+	highest, _ := peak(list)
+	return share(highest, e)
 }
 
 // prefillFor gives the engine that will have read the prompt first, one of the zone of
@@ -144,12 +215,13 @@
 func (f *Fleet) prefillFor(now time.Time, w *Want, zone hingeids.Zone) (*engine, time.Time) {
 	var best *engine
 	var bestAt time.Time
-	for _, e := range f.engines {
-		if e.Role != Prefill || !e.health.usable(now) || slices.Contains(w.Avoid, e.Server) {
+	most := f.mostBacklog()
+	for _, e := range f.prefillers {
+		if !e.health.usable(now) || slices.Contains(w.Avoid, e.Server) {
 			continue
 		}
 		backlog := e.prompts.backlog(now)
-		if backlog > mostBacklog {
+		if backlog > most {
 			continue
 		}
 		at := now.Add(backlog + e.prompts.reading(now, w.Prompt))
@@ -167,15 +239,20 @@
 // prefill, which costs callers nothing that they would notice.
 const otherZone = 10 * time.Millisecond
 
-// mostBacklog is the work that a prefill engine may have ahead: two prompts of the
-// mean size or one of the longest, so that it never idles while a decision is on its way.
-const mostBacklog = 200 * time.Millisecond
+// promptsAhead is how many prompts of the mean size a prefill engine may have ahead, so that it never
+// idles while a decision is on its way: with 1.3 and 3.2 as much is served (tried on two deployments).
+const promptsAhead = 2
+
+// mostBacklog is the work that a prefill engine may have ahead.
+func (f *Fleet) mostBacklog() time.Duration {
+	return promptsAhead*f.paces.usualReading() + handOver
+}
 
 // prefills reports whether an engine that prefills can be used at all, now or once its
 // work is done.
 func (f *Fleet) prefills(now time.Time, w *Want) bool {
-	for _, e := range f.engines {
-		if e.Role == Prefill && e.health.usable(now) && !slices.Contains(w.Avoid, e.Server) {
+	for _, e := range f.prefillers {
+		if e.health.usable(now) && !slices.Contains(w.Avoid, e.Server) {
 			return true
 		}
 	}
@@ -189,10 +266,12 @@
 	// lastCallTime is how long before it would be late a want whose prompt no engine can read yet is
 	// given to a decode engine that has room.
 	lastCallTime = 100 * time.Millisecond
-	// readRest is how long a decode engine that works a prompt isn't given another: its streams
-	// pause meanwhile, for a fifth of a second for a prompt of the mean size.
-	readRest = 400 * time.Millisecond
-	// ownPause is the time between two events at an engine that works no prompt: 72 tokens of
-	// 0.75 ms each, and its way.
-	ownPause = 60 * time.Millisecond
+	// readRest is how long a decode engine that works a prompt isn't given another, in readings of a prompt of the
+	// mean size by an engine that prefills: its streams pause for half of that time.
+	readRest = 2 * ownReading
+	// pauseMargin is how much longer than predicted such a pause may be: one that is too long makes all streams of the
+	// engine late, ten of them as a rule, for one that would have waited.
+	pauseMargin = 1.3
+	// eventWay is what an event takes from the engine to the entry host, beside the making.
+	eventWay = 10 * time.Millisecond
 )
--- a/internal/decide/hingefleet/sim_test.go
+++ b/internal/decide/hingefleet/sim_test.go
@@ -64,6 +64,8 @@
 	Asked, OnTime, Late, Refused, Failed, Preempted int
 	// RefusedLate counts refusals that took over an eighth of the target.
 	RefusedLate int
+	// OwnRead counts prompts that an engine that decodes has read.
+	OwnRead int
 }
 
 // placing is a way to place streams.
@@ -291,16 +293,24 @@
 		delete(s.asked, d.ID)
 		return
 	}
-	p := s.engines[d.Grant.Prefill]
-	p.freeAt = hingeclock.Later(now.Add(10*time.Millisecond), p.freeAt).Add(spanOf(x.prompt / p.pace / simReads))
-	x.prefill = p.id
-	x.readAt = p.freeAt
-	x.beginsAt = p.freeAt.Add(20 * time.Millisecond)
 	x.decode = d.Grant.Decode
 	s.started++
 	x.started = s.started
 	e := s.engines[x.decode]
 	e.streams = append(e.streams, x)
+	begin := now.Add(10 * time.Millisecond)
+	if d.Grant.Prefill == "" {
+		// An engine that decodes reads at half the pace, and makes next to nothing meanwhile.
+		s.got.OwnRead++
+		e.freeAt = hingeclock.Later(begin, e.freeAt).Add(spanOf(2 * x.prompt / e.pace / simReads))
+		x.beginsAt = e.freeAt
+		return
+	}
+	p := s.engines[d.Grant.Prefill]
+	p.freeAt = hingeclock.Later(begin, p.freeAt).Add(spanOf(x.prompt / p.pace / simReads))
+	x.prefill = p.id
+	x.readAt = p.freeAt
+	x.beginsAt = p.freeAt.Add(20 * time.Millisecond)
 }
 
 // tellRead tells of the prompts that were read since the step before.
@@ -340,7 +350,9 @@
 			}
 			x.first = now
 		}
-		x.made += e.pace * simStep.Seconds()
+		if now.After(e.freeAt) {
+			x.made += e.pace * simStep.Seconds()
+		}
 		if x.made >= x.length {
 			s.end(now, e, x)
 			continue
--- a/internal/membership/hingeworld/world.go
+++ b/internal/membership/hingeworld/world.go
@@ -99,6 +99,7 @@
 	if w.table != nil {
 		if s := w.table.Services[a.Service]; s.Engine != nil {
 			e.Memory = s.Engine.Memory
+			e.Event = s.Engine.EventTokens
 			e.Slots = s.Engine.Slots
 		}
 	}
