Have requests wait for the first configuration of a host that starts

Ruled out: a longer Retry-After: most of them ask for the last time. Reading the configuration from disk at entry hosts: they have none.

Change: a host that has started less than 3 s ago has a request wait until 0.85 of the caller's time is used, 256 requests at most.

--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -101,6 +101,8 @@
 type World interface {
 	// Table is nil before any configuration is known.
 	Table() *hingeroutes.Table
+	// Changed closes at the next change of what is known.
+	Changed() <-chan struct{}
 	// Replicas gives those of a service that may be used.
 	Replicas(s hingeids.Service) []hingebalance.Replica
 	// Address gives the address of a server, if it is known.
@@ -118,10 +120,12 @@
 
 // Settings of a proxy.
 type Settings struct {
-	Self     hingeids.Life
-	Zone     hingeids.Zone
-	Budget   Budget
-	Clock    func() time.Time
+	Self   hingeids.Life
+	Zone   hingeids.Zone
+	Budget Budget
+	Clock  func() time.Time
+	// Started is when the process began.
+	Started  time.Time
 	Recorder *hingeevents.Recorder
 }
 
@@ -139,6 +143,8 @@
 	// drainingSince is when the process began to end, zero before.
 	drainingSince time.Time
 	sequence      uint64
+	// held counts the requests that wait for the first configuration.
+	held int
 }
 
 var _ hingewire.Handler = (*Proxy)(nil)
@@ -192,7 +198,7 @@
 func (p *Proxy) Serve(ctx context.Context, r *hingewire.Request, w *hingewire.Writer) {
 	defer p.survive(r)
 	asked := p.dialect.Asked(r.Header)
-	table := p.world.Table()
+	table := p.awaitTable(ctx, r, asked)
 	if table == nil {
 		p.refuse(w, asked.ID, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNotReady, notReadyRetry, nil))
 		return
@@ -234,9 +240,6 @@
 	})
 }
 
-// notReadyRetry is when a host that starts is likely to know its configuration.
-const notReadyRetry = 500 * time.Millisecond
-
 // waitOf is how long a request may be kept waiting.
 func waitOf(a Asked, r *hingeroutes.Route) time.Duration {
 	wait := r.Timeout
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
+	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
@@ -217,11 +218,15 @@
 
 // world is a fleet of stand-ins.
 type world struct {
-	table    *hingeroutes.Table
+	table    hingeboard.Cell[hingeroutes.Table]
 	standins []*standin
 }
 
-func (w *world) Table() *hingeroutes.Table { return w.table }
+func (w *world) set(t *hingeroutes.Table) { w.table.Store(t) }
+
+func (w *world) Table() *hingeroutes.Table { return w.table.Load() }
+
+func (w *world) Changed() <-chan struct{} { return w.table.Changed() }
 
 func (w *world) Entries() int { return 1 }
 
@@ -316,6 +321,7 @@
 	t       *testing.T
 	address string
 	proxy   *Proxy
+	world   *world
 	// asked counts the requests, for their ids; left is how long callers wait.
 	asked int
 	left  time.Duration
@@ -324,9 +330,9 @@
 func newDoor(t *testing.T, standins ...*standin) *door {
 	t.Helper()
 	w := &world{
-		table:    routes(),
 		standins: standins,
 	}
+	w.set(routes())
 	network := hingefake.NewNetwork()
 	owner := hingeplacer.NewOwner("entry-1", network.Link("entry-1"), w, time.Now, nil)
 	p := New(Settings{
@@ -368,6 +374,7 @@
 		t:       t,
 		address: l.Addr().String(),
 		proxy:   p,
+		world:   w,
 		left:    2500 * time.Millisecond,
 	}
 }
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -111,6 +111,7 @@
 		Zone:     o.Zone,
 		Budget:   o.Budget,
 		Clock:    hingeclock.Boot,
+		Started:  hingeclock.Boot(),
 		Recorder: o.Recorder,
 	}, o.Dialect, f, f.owner)
 	f.server = hingewire.NewServer(f.proxy, f.limits, hingeclock.Boot)
--- a/internal/serve/hingefront/world.go
+++ b/internal/serve/hingefront/world.go
@@ -23,6 +23,11 @@
 	return f.world.Load().Table()
 }
 
+// Changed closes at the next change of what is known of the fleet.
+func (f *Front) Changed() <-chan struct{} {
+	return f.world.Changed()
+}
+
 // Replicas gives the replicas of a service that may be used.
 func (f *Front) Replicas(s hingeids.Service) []hingebalance.Replica {
 	return f.world.Load().Replicas(s)
