Plan roles with prompts that decode engines can read, and let all engines go at once that nobody misses

The plan took a prompt too many for prefill as refused, and an engine that could be spared at the present demand cost as much as one that is missed.

Change: served() counts prompts that decode engines read at a price (rule 2); an engine that its role can spare at present costs a twentieth of a change, and all such go at once (rule 3).

--- a/internal/decide/hingeshift/shift.go
+++ b/internal/decide/hingeshift/shift.go
@@ -5,11 +5,14 @@
 //     both pools look full, and only what was asked for says which one is short.
 //     It is measured in engines: prompt tokens not cached over an engine's rate,
 //     slot time over an engine's slots.
-//  2. The served share is what the scarcer role lets through. A shift gains what
+//  2. The served share is what the scarcer role lets through. Where engines that decode can work the prompts that
+//     those of the other role have no time for, they do, at a price, so that one engine too few for prefill costs less than
+//     one too few for decode. A shift gains what
 //     the served share rises, of the whole pool, over the time for which the
 //     demand is likely to last, and that is taken to be as long as it has lasted.
 //  3. A shift costs the engine's drain (it takes nothing new while what it holds
-//     comes to its end), and the change itself. It must gain twice its cost.
+//     comes to its end), and the change itself. It must gain twice its cost. An engine that its role can spare at
+//     present is missed by nobody while it changes: all of these go at once, and cost a part of it.
 //  4. Hysteresis: the same shift must be worth it for HoldFor without a break, and
 //     after a shift the next one waits for Rest. The demand of a minute that
 //     goes back and forth moves nothing.
@@ -63,6 +66,15 @@
 // Demand is what comes for each role, in engines.
 type Demand struct {
 	Prefill, Decode float64
+	// ReadCost is how many engines that decode it takes to do the work of one that prefills; zero if they can't.
+	ReadCost float64
+	// Present is what comes at the moment, where Prefill and Decode are planned for more; nil if it isn't known.
+	Present *Load
+}
+
+// Load is what one moment asks of each role, in engines.
+type Load struct {
+	Prefill, Decode float64
 }
 
 // Shift is an order: drain the engine, then change its role.
@@ -91,12 +103,6 @@
 	}
 }
 
-// SetChange takes another time for what a change costs at present: one that is
-// made from a pool with an engine to spare costs less than one that leaves work behind.
-func (s *Shifter) SetChange(d time.Duration) {
-	s.config.Change = d
-}
-
 // Decide gives the shift to make now, if there is one. It is called about once a
 // second; the caller drains the engine and then orders the change.
 //
@@ -116,8 +122,7 @@
 	}
 	e := cheapest(engines, to)
 	lasts := min(now.Sub(s.since), s.config.MostLast)
-	cost := e.Drain + s.config.Change
-	if gain*lasts.Seconds() < 2*cost.Seconds() {
+	if gain*lasts.Seconds() < 2*s.cost(engines, e, to, d).Seconds() {
 		return Shift{}, false
 	}
 	s.last, s.since = now, now
@@ -136,7 +141,7 @@
 		return Shift{}, false
 	}
 	e := cheapest(engines, to)
-	if gain*s.lasted.Seconds() < 2*(e.Drain+s.config.Change).Seconds() {
+	if gain*s.lasted.Seconds() < 2*s.cost(engines, e, to, d).Seconds() {
 		return Shift{}, false
 	}
 	return Shift{
@@ -145,10 +150,32 @@
 	}, true
 }
 
-// better is rules 1, 2 and 5: the role that one more engine would help, and how
-// much, in engines.
-func better(engines []Engine, d Demand) (to hingeannounce.Kind, gain float64) {
-	var prefills, decodes int
+// spareCost is the share of a change's time that counts where nobody misses the engine: the order may go wrong,
+// and the demand may turn.
+const spareCost = 0.05
+
+// cost is rule 3.
+func (s *Shifter) cost(engines []Engine, e Engine, to hingeannounce.Kind, d Demand) time.Duration {
+	cost := e.Drain + s.config.Change
+	if Spares(engines, to, d) {
+		cost = time.Duration(spareCost * float64(cost))
+	}
+	return cost
+}
+
+// Spares reports whether the role that an engine would leave bears the present demand without it.
+func Spares(engines []Engine, to hingeannounce.Kind, d Demand) bool {
+	if d.Present == nil {
+		return false
+	}
+	prefills, decodes := count(engines)
+	if to == hingeannounce.Decode {
+		return float64(prefills-1) >= d.Present.Prefill
+	}
+	return float64(decodes-1) >= d.Present.Decode
+}
+
+func count(engines []Engine) (prefills, decodes int) {
 	for _, e := range engines {
 		switch e.Kind {
 		case hingeannounce.Prefill:
@@ -157,6 +184,13 @@
 			decodes++
 		}
 	}
+	return prefills, decodes
+}
+
+// better is rules 1, 2 and 5: the role that one more engine would help, and how
+// much, in engines.
+func better(engines []Engine, d Demand) (to hingeannounce.Kind, gain float64) {
+	prefills, decodes := count(engines)
 	all := float64(prefills + decodes)
 	now := served(prefills, decodes, d)
 	if decodes > 1 {
@@ -172,16 +206,21 @@
 	return to, gain
 }
 
-// served is the share of the demand that gets through both roles.
+// served is the share of the demand that gets through both roles (rule 2).
 func served(prefills, decodes int, d Demand) float64 {
+	p, e := float64(prefills), float64(decodes)
 	share := 1.0
-	if d.Prefill > 0 {
-		share = min(share, float64(prefills)/d.Prefill)
-	}
 	if d.Decode > 0 {
-		share = min(share, float64(decodes)/d.Decode)
+		share = min(share, e/d.Decode)
+	}
+	if d.Prefill == 0 || share*d.Prefill <= p {
+		return share
+	}
+	if d.ReadCost == 0 {
+		return p / d.Prefill
 	}
-	return share
+	// What is left of the prompts is worked beside decode: share x Decode + ReadCost x (share x Prefill - p) = e.
+	return min((e+d.ReadCost*p)/(d.Decode+d.ReadCost*d.Prefill), 1)
 }
 
 // cheapest is the engine of the other role with the shortest drain; among alike ones, one of
--- a/internal/decide/hingeshift/shift_test.go
+++ b/internal/decide/hingeshift/shift_test.go
@@ -163,3 +163,63 @@
 		t.Fatal(diff)
 	}
 }
+
+// Four of nine engines prefill where one is asked for, and callers are refused for want of memory at those that decode.
+// Both that nobody misses at present go at once: one after the other, the second would come after the burst that
+// it was needed for.
+func TestEnginesThatNobodyMissesGoAtOnce(t *testing.T) {
+	engines := nine(0)
+	for i := range engines {
+		engines[i].Drain = 0
+	}
+	engines[3].Kind = hingeannounce.Prefill
+	d := Demand{
+		Prefill:  2.1,
+		Decode:   6.9,
+		ReadCost: 2,
+		Present: &Load{
+			Prefill: 1,
+			Decode:  3.5,
+		},
+	}
+	s := New(Config{
+		Change:   6 * time.Second,
+		HoldFor:  time.Second,
+		Rest:     9 * time.Second,
+		MostLast: time.Minute,
+	})
+	moved := 0
+	shift, ok := Shift{}, false
+	for t := time.Duration(0); t <= 2*time.Second && !ok; t += 500 * time.Millisecond {
+		shift, ok = s.Decide(start.Add(t), engines, d)
+	}
+	for ok && Spares(engines, shift.To, d) {
+		moved++
+		for i := range engines {
+			if engines[i].Server == shift.Server {
+				engines[i].Kind = shift.To
+			}
+		}
+		shift, ok = s.More(engines, d)
+	}
+	if moved != 2 {
+		t.Fatalf("%d engines went at once, want 2", moved)
+	}
+}
+
+// Prefill is a third short, and engines that decode can work the prompts in between. They lose twice the time, and
+// the served share says by how much; without them a third of all would be refused.
+func TestPromptsWorkedBesideDecodeCost(t *testing.T) {
+	d := Demand{
+		Prefill: 3,
+		Decode:  6,
+	}
+	if got := served(2, 7, d); got != 2.0/3 {
+		t.Errorf("%v gets through two engines of three", got)
+	}
+	d.ReadCost = 2
+	// 7 engines: 6 for decode and 1 for half an engine's prompts, of all 1 + 1/12.
+	if got := served(2, 7, d); got < 0.916 || got > 0.918 {
+		t.Errorf("%v gets through with the help of those that decode, want 11/12", got)
+	}
+}
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -22,6 +22,9 @@
 	// in clumps and a first token waits for all those before it: at nine tenths of
 	// its rate an engine keeps them waiting for many prefills, at three quarters for one or two.
 	prefillSlack = 1.3
+	// readCost is how many engines that decode it takes to read what one that prefills does: they read at
+	// half its pace, and make next to nothing meanwhile.
+	readCost = 2
 	// rolesEvery is how often roles are thought of.
 	rolesEvery = 500 * time.Millisecond
 	// holdFor is how long the same change must be worth it: three looks in a row, at a demand that is an
@@ -37,9 +40,6 @@
 	smallPool   = 5
 	// mostLast bounds how long a demand is taken to last.
 	mostLast = time.Minute
-	// idleCost is the share of a change's time that counts where the engine's pool can spare
-	// it even at the planned burst: nobody misses it, but the order itself may go wrong.
-	idleCost = 0.2
 	// orderTime bounds an order's way to an engine; it is well within the leader's lease.
 	orderTime = 300 * time.Millisecond
 	// changeWait is how long an engine that was ordered to change is left out of
@@ -178,10 +178,18 @@
 		return hingeshift.Demand{}, false
 	}
 	scale := float64(engines) / asked
-	return hingeshift.Demand{
+	planned := hingeshift.Demand{
 		Prefill: scale * d.Prefill,
 		Decode:  scale * d.Decode,
-	}, true
+		Present: &hingeshift.Load{
+			Prefill: d.Prefill,
+			Decode:  d.Decode,
+		},
+	}
+	if d.Reads {
+		planned.ReadCost = readCost / prefillSlack
+	}
+	return planned, true
 }
 
 // shift decides for one service.
@@ -198,23 +206,16 @@
 		})
 		r.shifters[s] = shifter
 	}
-	engines, prefills := r.standing(list)
+	engines := r.standing(list)
 	planned, enough := plan(len(engines), d)
 	if !enough {
 		return
 	}
-	cost := e.RoleTime
-	if float64(prefills-1) >= planned.Prefill {
-		cost = time.Duration(idleCost * float64(cost))
-	}
-	shifter.SetChange(cost)
+	atOnce := max((len(list)-smallPool)/shiftAtOnce, 1)
 	shift, ok := shifter.Decide(now, engines, planned)
-	for range max((len(list)-smallPool)/shiftAtOnce, 1) {
-		if !ok {
-			return
-		}
+	for n := 0; ok && (n < atOnce || hingeshift.Spares(engines, shift.To, planned)); n++ {
 		r.change(now, shift)
-		engines, _ = r.standing(list)
+		engines = r.standing(list)
 		shift, ok = shifter.More(engines, planned)
 	}
 }
@@ -237,22 +238,20 @@
 }
 
 // standing gives the engines as they will be once the changes under way are made.
-func (r *roles) standing(list []hingefleet.Engine) (engines []hingeshift.Engine, prefills int) {
+func (r *roles) standing(list []hingefleet.Engine) []hingeshift.Engine {
+	var engines []hingeshift.Engine
 	for _, e := range list {
 		role := e.Role
 		if c, there := r.changing[e.Server]; there {
 			role = c.role
 		}
-		if role == hingefleet.Prefill {
-			prefills++
-		}
 		engines = append(engines, hingeshift.Engine{
 			Server: e.Server,
 			Kind:   kindOf[role],
 			Zone:   e.Zone,
 		})
 	}
-	return engines, prefills
+	return engines
 }
 
 // publish hands the changes to whoever gives the orders, and to the placing.
