Count what the other role lets through when a role spares an engine, and watch the demand before orders may be given

A new leader began to look only once it might order.

Change: Spares() takes the demand as far as the other role lets it through; Watch() keeps how long a shift has been worth it before the issuers' pause is over.

--- a/internal/decide/hingeshift/shift.go
+++ b/internal/decide/hingeshift/shift.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// Watch looks at the demand and decides nothing: a caller that may not order a shift yet makes it as soon as it may, if
+// it has been worth it for HoldFor by then. It gives the role that one more engine would help and how much, in engines.
+func (s *Shifter) Watch(now time.Time, engines []Engine, d Demand) (hingeannounce.Kind, float64) {
+	to, gain := better(engines, d)
+	if to != s.toward {
+		s.toward, s.since = to, now
+	}
+	return to, gain
+}
+
 // Decide gives the shift to make now, if there is one. It is called about once a
 // second; the caller drains the engine and then orders the change.
 //
@@ -110,10 +120,7 @@
 // one pool is full and refuses while the other idles, and nobody stands by to
 // move an engine.
 func (s *Shifter) Decide(now time.Time, engines []Engine, d Demand) (Shift, bool) {
-	to, gain := better(engines, d)
-	if to != s.toward {
-		s.toward, s.since = to, now
-	}
+	to, gain := s.Watch(now, engines, d)
 	if to == "" || now.Sub(s.since) < s.config.HoldFor {
 		return Shift{}, false
 	}
@@ -163,16 +170,25 @@
 	return cost
 }
 
-// Spares reports whether the role that an engine would leave bears the present demand without it.
+// Spares reports whether the role that an engine would leave bears the present demand without it, as far as the
+// other role lets that through: an engine that works prompts for which there is no memory is missed by nobody.
 func Spares(engines []Engine, to hingeannounce.Kind, d Demand) bool {
 	if d.Present == nil {
 		return false
 	}
 	prefills, decodes := count(engines)
 	if to == hingeannounce.Decode {
-		return float64(prefills-1) >= d.Present.Prefill
+		return float64(prefills-1) >= d.Present.Prefill*letThrough(decodes, d.Present.Decode)
+	}
+	return float64(decodes-1) >= d.Present.Decode*letThrough(prefills, d.Present.Prefill)
+}
+
+// letThrough is the share of a demand that so many engines get through.
+func letThrough(engines int, demand float64) float64 {
+	if demand <= 0 {
+		return 1
 	}
-	return float64(decodes-1) >= d.Present.Decode
+	return min(float64(engines)/demand, 1)
 }
 
 func count(engines []Engine) (prefills, decodes int) {
--- a/internal/serve/hingecontrol/roles.go
+++ b/internal/serve/hingecontrol/roles.go
@@ -117,10 +117,10 @@
 		r.stepDown()
 		return
 	}
-	if !r.tenure.settled(now, term, r.control.options.IssuerPause) {
-		return
+	settled := r.tenure.settled(now, term, r.control.options.IssuerPause)
+	if settled {
+		r.control.settled.Store(&term)
 	}
-	r.control.settled.Store(&term)
 	world := r.control.world.Load()
 	r.forget(now, world.Engines())
 	table := world.Table()
@@ -129,7 +129,7 @@
 	}
 	for s, demand := range r.control.placer.Demands() {
 		if e := table.Services[s].Engine; e != nil {
-			r.shift(now, s, e, world.Engines()[s], demand)
+			r.shift(now, s, e, world.Engines()[s], demand, settled)
 		}
 	}
 	r.publish(world.Engines())
@@ -192,9 +192,9 @@
 	return planned, true
 }
 
-// shift decides for one service.
+// shift decides for one service. A leader that may not give orders yet only watches the demand.
 func (r *roles) shift(
-	now time.Time, s hingeids.Service, e *hingeroutes.Engine, list []hingefleet.Engine, d hingefleet.Demand,
+	now time.Time, s hingeids.Service, e *hingeroutes.Engine, list []hingefleet.Engine, d hingefleet.Demand, settled bool,
 ) {
 	shifter := r.shifters[s]
 	if shifter == nil {
@@ -211,6 +211,10 @@
 	if !enough {
 		return
 	}
+	if !settled {
+		shifter.Watch(now, engines, planned)
+		return
+	}
 	atOnce := max((len(list)-smallPool)/shiftAtOnce, 1)
 	shift, ok := shifter.Decide(now, engines, planned)
 	for n := 0; ok && (n < atOnce || hingeshift.Spares(engines, shift.To, planned)); n++ {
