Elect within half a second

Ruled out: voters that know from their clocks how long they were down (the time of day may step, the boot clock begins anew).

Change: election 500 ms for 900, heartbeat 125 ms for 200.

--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -58,11 +58,12 @@
 }
 
 const (
-	// election and heartbeat are longer than hingelog's defaults: disks here take up
-	// to 25 times their 5 ms for a sync at bad moments, and a leader that is
-	// voted out for it costs more than the half second that a true loss is noticed later.
-	election  = 900 * time.Millisecond
-	heartbeat = 200 * time.Millisecond
+	// election is how long a leader may be silent, and how long after its start a host may not vote: nothing is served in the
+	// meantime after all hosts have lost power, so each tenth of a second of it loses a tenth of a second's
+	// callers. A disk that takes 30 times its 5 ms for a sync keeps a host silent for two or three tenths. Four
+	// heartbeats in a row must be lost.
+	election  = 500 * time.Millisecond
+	heartbeat = 125 * time.Millisecond
 	// stepEvery is how often silent backend servers are looked for.
 	stepEvery = 250 * time.Millisecond
 	// openTries and openPause bound how long a disk that refuses writes is waited for at the start.
