--- a/internal/decide/hingefleet/paces_test.go
+++ b/internal/decide/hingefleet/paces_test.go
@@ -124,3 +124,17 @@
 		}
 	}
 }
+
+// A zone is cut off, and none of its engines decodes. Nothing will be learned there, and a caller that was let to wait would
+// use up the time in which another zone could serve it.
+func TestZoneWithoutEnginesThatDecodeRefusesAtOnce(t *testing.T) {
+	f := New()
+	now := simStart
+	f.SetEngines(engines()[:1])
+	f.Step(now)
+	now = now.Add(2 * learning)
+	f.Offer(now, wantOf("a", now))
+	if d := f.Step(now); len(d) != 1 || !d[0].Refused {
+		t.Fatalf("want a refusal at once: %+v", d)
+	}
+}
--- a/internal/decide/hingefleet/rates.go
+++ b/internal/decide/hingefleet/rates.go
@@ -83,10 +83,11 @@
 	return time.Duration(float64(after) * (1 - retrySpread*lot))
 }
 
-// learns reports whether too little is known yet to refuse anybody who can still be on time: not all engines, or not
-// how fast they are.
+// learns reports whether too little is known yet to refuse anybody: not all engines, or not
+// how fast they are. A zone that is cut off with no engine that decodes will learn nothing, and its callers
+// are told at once.
 func (f *Fleet) learns(now time.Time) bool {
-	return f.young(now) || f.paces.decode.readings == 0
+	return f.young(now) || f.paces.decode.readings == 0 && len(f.decoders) > 0
 }
 
 // young reports whether engines may exist that haven't been heard of yet: after all hosts have lost
