Account: tell from the logs what callers got, and why some were late or not served

For that final lines carry route and lateness, a refusal says what there was too little of (memory, prefill, engines), and event 115 tells prompts that were worked for nothing. The drawing of figures moved out of hingereport into hingefigure, which both use.

--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -70,6 +70,8 @@
 	Alone  bool          `cbor:"6,keyasint,omitempty"`
 	Waited time.Duration `cbor:"7,keyasint,omitempty"`
 	Peak   int           `cbor:"8,keyasint,omitempty"`
+	// Short is what there was too little of, where it is refused.
+	Short hingefleet.Shortage `cbor:"10,keyasint,omitempty"`
 }
 
 // note is how an engine of a service did.
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -332,5 +332,6 @@
 		RetryAfter: d.RetryAfter,
 		Waited:     d.Waited,
 		Peak:       d.Peak,
+		Short:      d.Short,
 	}
 }
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -114,12 +114,24 @@
 	// Refused says that nothing was granted, RetryAfter when to come back.
 	Refused    bool
 	RetryAfter time.Duration
+	// Short is what there was too little of, where it is refused.
+	Short Shortage
 	// Waited is how long the decision took, Peak the predicted peak of the
 	// decode engine in hundredths of its memory; for the log.
 	Waited time.Duration
 	Peak   int
 }
 
+// Shortage is what a fleet has too little of.
+type Shortage string
+
+// The shortages.
+const (
+	ShortOfEngines Shortage = "engines"
+	ShortOfMemory  Shortage = "memory"
+	ShortOfPrefill Shortage = "prefill"
+)
+
 // Progress is what the owner of a stream reports of it.
 type Progress struct {
 	ID       StreamID          `cbor:"1,keyasint"`
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -149,6 +149,21 @@
 		Owner:      w.Owner,
 		Refused:    true,
 		RetryAfter: f.retryAfter(now, w.ID, wait, r),
+		Short:      f.short(now),
 		Waited:     now.Sub(w.Arrived),
 	}, true
 }
+
+// short tells what a want that found no place in this step was short of.
+func (f *Fleet) short(now time.Time) Shortage {
+	usable := slices.ContainsFunc(f.decoders, func(e *engine) bool {
+		return e.health.usable(now)
+	})
+	switch {
+	case !usable:
+		return ShortOfEngines
+	case f.unreadable:
+		return ShortOfPrefill
+	}
+	return ShortOfMemory
+}
--- a/internal/load/hingereport/model.go
+++ b/internal/load/hingereport/model.go
@@ -7,6 +7,7 @@
 	"gonum.org/v1/plot/plotter"
 
 	"github.com/swifthinge/swifthinge/internal/load/hingecompare"
+	"github.com/swifthinge/swifthinge/internal/observe/hingefigure"
 )
 
 // WriteModel writes the report of a comparison on the engine model.
@@ -22,7 +23,7 @@
 	}); err != nil {
 		return err
 	}
-	for _, f := range []figure{
+	for _, f := range []hingefigure.Figure{
 		byLoad("goodput.png", "Goodput under both targets, "+firm, "requests/s", points,
 			func(p hingecompare.Point) float64 { return p.Goodput }),
 		byLoad("tokenGoodput.png", "Output tokens within both targets, "+firm, "tokens/s", points,
@@ -30,7 +31,7 @@
 		byLoad("wasted.png", "Wasted prefill, "+firm, "share of prefill tokens", points,
 			func(p hingecompare.Point) float64 { return p.Wasted }),
 	} {
-		if err := f.write(folder); err != nil {
+		if err := f.Write(folder); err != nil {
 			return err
 		}
 	}
@@ -39,21 +40,21 @@
 
 func byLoad(
 	file, title, y string, points []hingecompare.Point, value func(hingecompare.Point) float64,
-) figure {
-	f := figure{
-		file:  file,
-		title: title,
-		x:     "load, as a multiple of the peak",
-		y:     y,
+) hingefigure.Figure {
+	f := hingefigure.Figure{
+		File:  file,
+		Title: title,
+		X:     "load, as a multiple of the peak",
+		Y:     y,
 	}
 	for _, p := range points {
-		if n := len(f.lines); n == 0 || f.lines[n-1].name != p.Policy {
-			f.lines = append(f.lines, line{
-				name: p.Policy,
+		if n := len(f.Lines); n == 0 || f.Lines[n-1].Name != p.Policy {
+			f.Lines = append(f.Lines, hingefigure.Line{
+				Name: p.Policy,
 			})
 		}
-		last := &f.lines[len(f.lines)-1]
-		last.points = append(last.points, plotter.XY{
+		last := &f.Lines[len(f.Lines)-1]
+		last.Points = append(last.Points, plotter.XY{
 			X: p.Load,
 			Y: value(p),
 		})
--- a/internal/load/hingereport/plots.go
+++ b/internal/load/hingereport/plots.go
@@ -1,106 +1,51 @@
 package hingereport
 
 import (
-	"path/filepath"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/rotisserie/eris"
-	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
 
 	"github.com/swifthinge/swifthinge/internal/load/hingeload"
+	"github.com/swifthinge/swifthinge/internal/observe/hingefigure"
 )
 
-// figure is a plot of lines, written as PNG.
-type figure struct {
-	file, title, x, y string
-	// logX is for times that range over several powers of ten.
-	logX  bool
-	lines []line
-}
-
-type line struct {
-	name   string
-	points plotter.XYs
-}
-
-// The size of a plot.
-const (
-	width  = 18 * vg.Centimeter
-	height = 10 * vg.Centimeter
-)
-
-// write draws the figure. One without points is left out: a logarithmic axis
-// can't be drawn without any.
-func (f figure) write(folder string) error {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = f.title, f.x, f.y
-	p.Y.Min = 0
-	// A distribution rises from the left, so its legend stands at the lower right.
-	p.Legend.Top, p.Legend.Left = !f.logX, !f.logX
-	p.Add(plotter.NewGrid())
-	for i, l := range f.lines {
-		if len(l.points) == 0 {
-			continue
-		}
-		drawn, err := plotter.NewLine(l.points)
-		if err != nil {
-			return eris.Wrapf(err, "%s: %s", f.file, l.name)
-		}
-		drawn.Color = plotutil.Color(i)
-		drawn.Dashes = plotutil.Dashes(i)
-		p.Add(drawn)
-		p.Legend.Add(l.name, drawn)
-	}
-	if f.logX && p.X.Min > 0 && p.X.Max > p.X.Min {
-		p.X.Scale = plot.LogScale{}
-		p.X.Tick.Marker = plot.LogTicks{
-			Prec: -1,
-		}
-	}
-	return eris.Wrap(p.Save(width, height, filepath.Join(folder, f.file)), f.file)
-}
-
 func plotLoad(folder string, r *hingeload.Result) error {
-	first := figure{
-		file:  "firstToken.png",
-		title: "Time to first token, " + r.Mix,
-		x:     "ms",
-		y:     "share of answers",
-		logX:  true,
+	first := hingefigure.Figure{
+		File:  "firstToken.png",
+		Title: "Time to first token, " + r.Mix,
+		X:     "ms",
+		Y:     "share of answers",
+		LogX:  true,
 	}
 	gaps := first
-	gaps.file, gaps.title, gaps.y = "tokenGap.png", "Time between tokens, "+r.Mix, "share of gaps"
+	gaps.File, gaps.Title, gaps.Y = "tokenGap.png", "Time between tokens, "+r.Mix, "share of gaps"
 	for _, c := range r.Classes {
-		first.lines = append(first.lines, line{
-			name:   c.Name,
-			points: cumulative(c.FirstToken),
+		first.Lines = append(first.Lines, hingefigure.Line{
+			Name:   c.Name,
+			Points: cumulative(c.FirstToken),
 		})
-		gaps.lines = append(gaps.lines, line{
-			name:   c.Name,
-			points: cumulative(c.TokenGap),
+		gaps.Lines = append(gaps.Lines, hingefigure.Line{
+			Name:   c.Name,
+			Points: cumulative(c.TokenGap),
 		})
 	}
-	goodput := figure{
-		file:  "goodput.png",
-		title: "Requests by the second of their arrival, " + r.Mix,
-		x:     "s",
-		y:     "requests",
-		lines: []line{
+	goodput := hingefigure.Figure{
+		File:  "goodput.png",
+		Title: "Requests by the second of their arrival, " + r.Mix,
+		X:     "s",
+		Y:     "requests",
+		Lines: []hingefigure.Line{
 			{
-				name:   "offered",
-				points: perSecond(r.OfferedPerSecond),
+				Name:   "offered",
+				Points: perSecond(r.OfferedPerSecond),
 			},
 			{
-				name:   "within both targets",
-				points: perSecond(r.InTargetPerSecond),
+				Name:   "within both targets",
+				Points: perSecond(r.InTargetPerSecond),
 			},
 		},
 	}
-	for _, f := range []figure{first, gaps, goodput} {
-		if err := f.write(folder); err != nil {
+	for _, f := range []hingefigure.Figure{first, gaps, goodput} {
+		if err := f.Write(folder); err != nil {
 			return err
 		}
 	}
--- a/internal/observe/hingeevents/events.go
+++ b/internal/observe/hingeevents/events.go
@@ -62,7 +62,10 @@
 	Fence    hingeids.Fence    `json:"fence,omitempty"`
 	Took     time.Duration     `json:"took,omitempty"`
 	Count    int64             `json:"count,omitempty"`
-	Detail   string            `json:"detail,omitempty"`
+	// Route names the route of a request; Late is what made its answer late, empty if it was on time.
+	Route  string `json:"route,omitempty"`
+	Late   string `json:"late,omitempty"`
+	Detail string `json:"detail,omitempty"`
 }
 
 // Stamp is a hybrid logical clock reading: wall time in nanoseconds, then a
@@ -294,6 +297,8 @@
 	add(f.Fence != 0, "fence", f.Fence)
 	add(f.Took != 0, "took", f.Took)
 	add(f.Count != 0, "count", f.Count)
+	add(f.Route != "", "route", f.Route)
+	add(f.Late != "", "late", f.Late)
 	add(f.Detail != "", "detail", f.Detail)
 	return out
 }
--- a/internal/observe/hingeevents/path.go
+++ b/internal/observe/hingeevents/path.go
@@ -17,6 +17,7 @@
 	ServiceFailed       Number = 112
 	SlotMissed          Number = 113
 	HandlerPanicked     Number = 114
+	PromptWasted        Number = 115
 )
 
 var pathEntries = []Entry{
@@ -112,4 +113,10 @@
 		Text:     "The program failed on a request of a caller, which it gave up; detail has the cause.",
 		Do:       "Report it with the request's events; keep the request from being sent again.",
 	},
+	{
+		Number:   PromptWasted,
+		Name:     "promptWasted",
+		Severity: Info,
+		Text:     "A prompt was worked for nothing; count is its tokens, detail what became of its KV cache or of the stream that had it.",
+	},
 }
--- a/internal/observe/hingelines/lines.go
+++ b/internal/observe/hingelines/lines.go
@@ -9,6 +9,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -93,8 +94,8 @@
 	}
 }
 
-// line is an event as it is written.
-type line struct {
+// Line is an event as it is written.
+type Line struct {
 	At      time.Time          `json:"at"`
 	Event   hingeevents.Number `json:"event"`
 	Name    string             `json:"name"`
@@ -107,7 +108,7 @@
 func (w *Writer) write(out *bufio.Writer, e hingeevents.Event, told int64) int64 {
 	entry, _ := hingeevents.Lookup(e.Number)
 	dropped := w.dropped.Load()
-	l := line{
+	l := Line{
 		At:      time.Unix(0, e.Stamp.Wall).UTC(),
 		Event:   e.Number,
 		Name:    entry.Name,
@@ -126,3 +127,16 @@
 	_, _ = out.Write(append(b, '\n'))
 	return dropped
 }
+
+// Parse reads a line, whatever a collector of logs has put before it; it gives false for what isn't an event.
+func Parse(b []byte) (Line, bool) {
+	at := bytes.IndexByte(b, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var l Line
+	if err := json.Unmarshal(b[at:], &l); err != nil || l.Event == 0 {
+		return Line{}, false
+	}
+	return l, true
+}
--- a/internal/operate/hingecommand/command.go
+++ b/internal/operate/hingecommand/command.go
@@ -123,6 +123,7 @@
 			p.statusCommand(),
 			p.explainCommand(),
 			p.timelineCommand(),
+			p.accountCommand(),
 			p.drainCommand(),
 			p.votersCommand(),
 			p.keysCommand(),
--- a/internal/path/hingeproxy/answer.go
+++ b/internal/path/hingeproxy/answer.go
@@ -65,6 +65,7 @@
 		Asked:  string(j.asked.ID),
 		Took:   now.Sub(j.Arrived),
 		Count:  int64(j.attempts),
+		Route:  j.route.Name,
 		Detail: e.Error(),
 	})
 	if j.writer.Begun() {
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -85,6 +85,7 @@
 	p.settings.Recorder.Record(now, hingeevents.CallerGone, hingeevents.Fields{
 		Asked: string(j.asked.ID),
 		Took:  now.Sub(j.Arrived),
+		Route: j.route.Name,
 	})
 }
 
@@ -253,6 +254,16 @@
 		Server: a.server,
 		Took:   now.Sub(j.Arrived),
 		Count:  int64(a.response.StatusCode),
+		Route:  j.route.Name,
+		Late:   j.late(now),
 	})
 	j.writer.Whole(a.response.StatusCode, a.response.Header, a.body)
 }
+
+// late is what made a plain answer late, empty if nothing did.
+func (j *job) late(now time.Time) string {
+	if now.Sub(j.Arrived) > j.route.Target {
+		return "answer"
+	}
+	return ""
+}
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -86,10 +88,34 @@
 		Asked:  string(r.asked.ID),
 		Took:   now.Sub(r.Arrived),
 		Count:  int64(r.relay.events),
+		Route:  r.route.Name,
+		Late:   r.late(),
 		Detail: fmt.Sprintf("longest pause %d ms", r.relay.pause.Milliseconds()),
 	})
 }
 
+// late is what made a stream that is whole late, empty if nothing did.
+func (r *run) late() string {
+	switch {
+	case r.relay.firstAt.Sub(r.Arrived) > r.route.Target:
+		return "firstEvent"
+	case r.route.GapTarget > 0 && r.relay.pause > r.route.GapTarget:
+		return "pause"
+	}
+	return ""
+}
+
+// wasted records that a prompt was worked for nothing.
+func (p *Proxy) wasted(r *run, at placement, tokens hingeids.Tokens, cause error) {
+	p.settings.Recorder.Record(p.settings.Clock(), hingeevents.PromptWasted, hingeevents.Fields{
+		Asked:  string(r.asked.ID),
+		Server: at.Decode,
+		Count:  int64(tokens),
+		Route:  r.route.Name,
+		Detail: cause.Error(),
+	})
+}
+
 // moveOn decides whether another attempt is made.
 func (p *Proxy) moveOn(r *run, err *hingeverdict.Error) bool {
 	if err.Code == hingeverdict.CodeNoRoom || err.Code == hingeverdict.CodeDeadline {
@@ -161,6 +187,7 @@
 	if placed.Prefill != "" {
 		placed.stream.Note(placed.Prefill, hingefleet.Worked)
 	}
+	made := hingeids.Tokens(r.relay.events) * r.engine.EventTokens
 	done := p.settings.Clock()
 	r.read = done.Sub(placedAt)
 	for {
@@ -184,6 +211,7 @@
 		placed = next
 		ahead = p.dialAhead(ctx, placed.Decode)
 	}
+	p.wasted(r, placed, r.asked.Prompt+made, err)
 	if cache != (Cache{}) && (err.Verdict == hingeverdict.NotRun || ctx.Err() != nil) {
 		p.free(cache)
 	}
@@ -214,7 +242,8 @@
 	w.Cached = cached
 	placed := p.owner.Place(ctx, w)
 	if placed.Refused {
-		return placement{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoRoom, placed.RetryAfter, nil)
+		return placement{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoRoom, placed.RetryAfter,
+			eris.Errorf("short of %s", placed.Short))
 	}
 	if placed.NotHere || placed.Decode == "" {
 		return placement{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
@@ -224,6 +253,7 @@
 		Server: placed.Decode,
 		Took:   placed.Waited,
 		Count:  int64(placed.Peak),
+		Route:  r.route.Name,
 		Detail: fmt.Sprintf("prefill %s, alone %v, prompt %d, expected %d", placed.Prefill, placed.Alone, w.Prompt, w.Expected),
 	})
 	return placement{
