--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -23,7 +23,8 @@
 //     has part of the answer, and its prefill has been paid once.
 //  5. What can't be served in time, nor later before its caller loses patience, is refused
 //     at once, with the time after which the work ahead of it will have drained. While as
-//     much arrives as drains, late wants never get a turn before new ones; to let them
+//     much arrives as drains, late wants get a turn before new ones only where a burst is short; once
+//     most of them have waited in vain, to let others
 //     wait would only use up the time that their callers have to come back.
 //  6. An engine that can't be reached, or fails a good part of what it is sent, is
 //     left alone for a while, doubled each time in a row, and then tried with one stream
@@ -188,6 +189,7 @@
 	arrivals []time.Time
 	known    rates
 	knownAt  time.Time
+	turns    turns
 	// tried are the wants that found no room in the present step; unreadable says that all engines that
 	// prefill have enough to read.
 	tried      []attempt
--- a/internal/decide/hingefleet/grant.go
+++ b/internal/decide/hingefleet/grant.go
@@ -7,7 +7,7 @@
 )
 
 func (f *Fleet) grant(now time.Time, w *Want) (Decision, bool) {
-	limit := 1.0
+	limit := fullShare
 	if !w.Moved && !w.Cached && !f.onTime(now, w) {
 		limit = lateShare
 	}
@@ -34,6 +34,9 @@
 		}
 		begins = now.Add(ownReading*f.paces.reading(w.Prompt) + prefillStart)
 	}
+	if limit == lateShare {
+		f.turns.take(now, true)
+	}
 	f.take(now, w, r.engine, g, begins)
 	return Decision{
 		ID:     w.ID,
@@ -79,7 +82,7 @@
 		expected: w.Expected,
 		madeAt:   begins,
 		granted:  now,
-		placed:   f.placedAt(now, w, g),
+		placed:   placedAt(now, w, g),
 	})
 	decode.health.triedAt = now
 	if g.Prefill == "" && !w.Cached {
@@ -92,7 +95,7 @@
 }
 
 // placedAt is when a stream's way to its first token begins, if that is the usual one.
-func (*Fleet) placedAt(now time.Time, w *Want, g Grant) time.Time {
+func placedAt(now time.Time, w *Want, g Grant) time.Time {
 	if w.Cached || w.Moved || g.Prefill == "" {
 		return time.Time{}
 	}
@@ -121,14 +124,14 @@
 func (f *Fleet) reader(now time.Time, w *Want, limit float64) (room, bool) {
 	hurry := f.lastCall(now, w) || !f.prefills(now, w)
 	r, found := f.room(now, w, limit, func(e *engine, share float64) bool {
-		return f.mayRead(now, w, e) && (hurry || f.paces.read.readings > 0 && share+f.size(w, e) <= limit)
+		return f.mayRead(now, w, e) && (hurry || f.paces.read.readings > 0 && share+size(w, e) <= limit)
 	})
 	f.unreadable = f.unreadable || !found && !hurry && len(w.Avoid) == 0
 	return r, found
 }
 
 // size is the share of an engine's memory that a stream takes in the end.
-func (*Fleet) size(w *Want, e *engine) float64 {
+func size(w *Want, e *engine) float64 {
 	return share(w.Prompt+w.Expected, e)
 }
 
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -143,6 +143,11 @@
 		return Decision{}, false
 	case r.spare() && now.Add(r.lateWait(ahead+1)).Before(until):
 		return Decision{}, false
+	case f.turns.hopeful(now) && len(f.decoders) > 0 && now.Add(wait).Before(until):
+		return Decision{}, false
+	}
+	if !now.Add(wait).Before(until) && now.Sub(w.Arrived) > w.Target {
+		f.turns.take(now, false)
 	}
 	return Decision{
 		ID:         w.ID,
