--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -153,7 +153,7 @@
 		ID:         w.ID,
 		Owner:      w.Owner,
 		Refused:    true,
-		RetryAfter: f.retryAfter(now, w.ID, wait, r),
+		RetryAfter: f.retryAfter(now, wait, r),
 		Short:      f.short(now),
 		Waited:     now.Sub(w.Arrived),
 	}, true
--- a/internal/decide/hingefleet/rates.go
+++ b/internal/decide/hingefleet/rates.go
@@ -1,10 +1,6 @@
 package hingefleet
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // rates are streams a second: that end, by what is known of those in flight, and that arrive.
 type rates struct {
@@ -70,17 +66,15 @@
 
 // retryAfter is when a refused caller is best back: once the work ahead has
 // drained or, while as much arrives as drains, once the burst is likely over.
-// Callers are spread over the time around it, or they would come back as the next burst.
-func (f *Fleet) retryAfter(now time.Time, id StreamID, wait time.Duration, r rates) time.Duration {
-	after := min(max(wait, shortestRetry), longestRetry)
+// Callers came one after the other, and come back so.
+func (f *Fleet) retryAfter(now time.Time, wait time.Duration, r rates) time.Duration {
 	switch {
 	case f.learns(now):
-		after = learning
+		return learning
 	case !r.spare():
-		after = longestRetry
+		return longestRetry
 	}
-	lot := float64(xxhash.Sum64String(string(id))%1000) / 1000
-	return time.Duration(float64(after) * (1 - retrySpread*lot))
+	return min(max(wait, shortestRetry), longestRetry)
 }
 
 // learns reports whether too little is known yet to refuse anybody: not all engines, or not
@@ -100,6 +94,3 @@
 
 // learning is how long it takes until all engines are heard of: they announce themselves every 1.2 s.
 const learning = 1500 * time.Millisecond
-
-// retrySpread is the share of the time told by which callers are spread.
-const retrySpread = 0.3
