--- a/internal/decide/hingefleet/fleet_test.go
+++ b/internal/decide/hingefleet/fleet_test.go
@@ -1,6 +1,7 @@
 package hingefleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -271,20 +272,51 @@
 	}
 }
 
-func BenchmarkStep(b *testing.B) {
+// BenchmarkPlace places one stream on fleets of several sizes whose engines have six streams each, with no other that
+// waits, and with two hundred that wait for memory.
+func BenchmarkPlace(b *testing.B) {
+	for _, engines := range []int{9, 45, 90, 360, 1440, 6400} {
+		for _, waiting := range []int{0, 200} {
+			b.Run(fmt.Sprintf("engines=%d/waiting=%d", engines, waiting), func(b *testing.B) {
+				benchmarkPlace(b, engines, waiting)
+			})
+		}
+	}
+}
+
+func benchmarkPlace(b *testing.B, engines, waiting int) {
 	f := taught()
 	now := simStart
-	f.SetEngines(engineList(loadPattern{
-		prefills: 15,
-		decodes:  30,
-	}))
-	for i := range 400 {
-		f.Offer(now, wantOf(StreamID(hingeids.ServerID(rune(i))), now))
+	list := engineList(loadPattern{
+		prefills: engines / 3,
+		decodes:  engines - engines/3,
+	})
+	f.SetEngines(list)
+	var running []Progress
+	for i, e := range list {
+		for n := range 6 {
+			if e.Role != Decode {
+				continue
+			}
+			running = append(running, Progress{
+				ID:       StreamID(fmt.Sprintf("%d/%d", i, n)),
+				Decode:   e.Server,
+				Prompt:   5200,
+				Expected: 5000,
+				Made:     hingeids.Tokens(300 * n),
+			})
+		}
 	}
-	f.Step(now)
-	for b.Loop() {
-		w := wantOf("next", now)
+	f.Report(now, "entry-1", running)
+	for i := range waiting {
+		w := wantOf(StreamID(fmt.Sprint("waits", i)), now)
+		w.Prompt = simMemory
+		w.Moved = true
 		f.Offer(now, w)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Offer(now, wantOf("next", now))
 		f.Step(now)
 		f.Cancel("next")
 	}
