Tidy what the last read of the change found

Work done twice: the sum of squares behind an engine's margin was built anew for each want although the outlook holds it, and is marked stale with every change of the streams. State and parameters that followed from others: the wait of late wants beside the rates that give it, two fields of the account that nobody set and one that nobody read, a loop over engines that only took the first.

--- a/internal/decide/hingefleet/demand.go
+++ b/internal/decide/hingefleet/demand.go
@@ -93,8 +93,6 @@
 	if f.paces.gap == 0 {
 		return true
 	}
-	for _, e := range f.decoders {
-		return f.pause(e, f.paces.usualReading()) < f.paces.gap
-	}
-	return false
+	// The engines of a service are alike, so that the first speaks for all.
+	return len(f.decoders) > 0 && f.pause(f.decoders[0], f.paces.usualReading()) < f.paces.gap
 }
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -133,7 +133,7 @@
 	if f.unreadable {
 		wait = f.readWait(now, ahead+1)
 	}
-	if f.waits(now, w, wait, r.lateWait(ahead+1), r) {
+	if f.waits(now, w, ahead, wait, r) {
 		return Decision{}, false
 	}
 	return Decision{
@@ -146,9 +146,8 @@
 	}, true
 }
 
-// waits reports whether a want that found no place waits on: wait is how long for its turn, lateWait the same if all that
-// comes meanwhile goes before it (rule 5).
-func (f *Fleet) waits(now time.Time, w *Want, wait, lateWait time.Duration, r rates) bool {
+// waits reports whether a want that found no place waits on, behind as many others; wait is how long for its turn (rule 5).
+func (f *Fleet) waits(now time.Time, w *Want, ahead int, wait time.Duration, r rates) bool {
 	if f.onTime(now.Add(wait), w) {
 		return true
 	}
@@ -160,7 +159,7 @@
 	case f.unreadable:
 		// There is memory, and prompts are read at a steady pace.
 		return turn
-	case r.spare() && now.Add(lateWait).Before(until):
+	case r.spare() && now.Add(r.lateWait(ahead+1)).Before(until):
 		return true
 	case len(f.decoders) > 0 && f.turns.hopeful(now) && turn:
 		return true
--- a/internal/decide/hingefleet/room.go
+++ b/internal/decide/hingefleet/room.go
@@ -67,7 +67,7 @@
 		if r.share > limit || best.engine != nil && !r.before(best) || f.unfit(now, e, w) {
 			continue
 		}
-		r.share = f.predict(now, e, w)
+		r.share = f.predict(now, e, o, w)
 		r.rank = r.share + against
 		if may != nil && !may(e, r.share) {
 			continue
@@ -109,12 +109,12 @@
 }
 
 // predict gives the peak of an engine with one more stream, as a share of its memory.
-func (f *Fleet) predict(now time.Time, e *engine, w *Want) float64 {
+func (f *Fleet) predict(now time.Time, e *engine, o outlook, w *Want) float64 {
 	list := append(f.loads(now, e), load{
 		held: w.Prompt,
 		left: w.Expected,
 	})
 	f.scratch = list
 	highest, _ := peak(list)
-	return share(highest+f.margin(e, squares(e.streams), w), e)
+	return share(highest+f.margin(e, o.squares, w), e)
 }
--- a/internal/membership/hingeannounce/directory.go
+++ b/internal/membership/hingeannounce/directory.go
@@ -104,25 +104,17 @@
 	if k != nil && i == 0 {
 		i = k.record.Announcement.Incarnation
 	}
-	i = max(i, 1)
-	switch {
-	case k != nil && i < k.record.Announcement.Incarnation:
-		return false
-	case k != nil && i == k.record.Announcement.Incarnation:
-		if k.record.Announcement.Leaving {
-			return false
-		}
-		k.record.Announcement.Leaving = true
-		d.note(k)
-		return true
+	word := Announcement{
+		Server:      id,
+		Incarnation: max(i, 1),
+		Leaving:     true,
+	}
+	if k != nil && word.Incarnation <= k.record.Announcement.Incarnation {
+		return d.leave(k, word)
 	}
 	d.put(now, Record{
-		Announcement: Announcement{
-			Server:      id,
-			Incarnation: i,
-			Leaving:     true,
-		},
-		Owner: d.self,
+		Announcement: word,
+		Owner:        d.self,
 	})
 	return true
 }
@@ -156,7 +148,7 @@
 	return !same
 }
 
-// leave is rule 3 for an announcement that came late.
+// leave is rule 3 for a word that came late, or that says nothing else.
 func (d *Directory) leave(k *kept, a Announcement) bool {
 	held := &k.record.Announcement
 	if a.Incarnation != held.Incarnation || !a.Leaving || held.Leaving {
--- a/internal/observe/hingeaccount/account.go
+++ b/internal/observe/hingeaccount/account.go
@@ -61,15 +61,12 @@
 
 	stream bool
 	ended  bool
-	read   string
 }
 
 // Account is all that was read.
 type Account struct {
 	// Zones gives the availability zone of each host.
 	Zones map[hingeids.HostID]hingeids.Zone
-	// Began and Ended are the times of the first and the last request.
-	Began, Ended time.Time
 	// Dropped is how many lines their writers dropped.
 	Dropped int64
 
@@ -137,11 +134,9 @@
 	switch l.Event {
 	case hingeevents.RequestPlaced:
 		a.placed(r, l)
-	case hingeevents.RequestFirstToken:
-		r.read = l.Fields.Detail
 	case hingeevents.PromptWasted:
 		r.Wasted += l.Fields.Count
-		a.waste[wasteReason(l.Fields.Detail)] += l.Fields.Count
+		a.waste[verdictOf(l.Fields.Detail)] += l.Fields.Count
 	case hingeevents.RequestAnswered:
 		r.stream = true
 		r.end(l.At, OnTime, "")
@@ -215,17 +210,17 @@
 
 // shortCause keeps the verdict, its code, and the cause as far as it doesn't name addresses.
 func shortCause(detail string) string {
-	head, rest, _ := strings.Cut(detail, ": ")
+	rest := strings.TrimPrefix(detail, verdictOf(detail)+": ")
 	if short, ok := strings.CutPrefix(rest, "short of "); ok {
-		return head + " short of " + short
+		return verdictOf(detail) + " short of " + short
 	}
-	return head
+	return verdictOf(detail)
 }
 
-// wasteReason is why a prompt was worked for nothing.
-func wasteReason(detail string) string {
-	head, _, _ := strings.Cut(detail, ": ")
-	return head
+// verdictOf is the verdict and its code, without the causes that follow it.
+func verdictOf(detail string) string {
+	verdict, _, _ := strings.Cut(detail, ": ")
+	return verdict
 }
 
 // Requests gives the requests by the time of their end.
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -130,7 +130,7 @@
 
 // want makes what is asked of the placer.
 func (p *Proxy) want(r *run) hingeplacer.Want {
-	made := hingeids.Tokens(r.relay.events) * r.engine.EventTokens
+	made := r.made()
 	p.mu.Lock()
 	p.sequence++
 	n := p.sequence
@@ -152,6 +152,11 @@
 	}
 }
 
+// made is the tokens that the caller has.
+func (r *run) made() hingeids.Tokens {
+	return hingeids.Tokens(r.relay.events) * r.engine.EventTokens
+}
+
 // expected is how many tokens an answer is expected to have.
 func expected(a Asked, e *hingeroutes.Engine) hingeids.Tokens {
 	t := a.Hint
@@ -187,7 +192,7 @@
 	if placed.Prefill != "" {
 		placed.stream.Note(placed.Prefill, hingefleet.Worked)
 	}
-	made := hingeids.Tokens(r.relay.events) * r.engine.EventTokens
+	made := r.made()
 	done := p.settings.Clock()
 	r.read = done.Sub(placedAt)
 	for {
