A leader whose disk stalls gives up what it was asked; placers are asked in turn by one piece of code

Cause: a test of stalled disks. Whoever asked the stalled leader for a change heard nothing for as long as the disk hung, since its loop waits for the sync and can't learn that another leads (5 s; the bound, 2.5 s, is that of a silent leader). Streams and plain requests each had a loop of their own over the placers.

Ruled out: that the stalled host goes on leading (it doesn't: heartbeats end with the loop, and another is elected), that accepted changes are lost (two of three disks stalled, an election beside a stalled disk: nothing is).

Change: a question to the own host ends as "may have run" once its lease has been over for an election. Owner.inTurn serves both.

--- a/internal/agreement/hingegroup/propose.go
+++ b/internal/agreement/hingegroup/propose.go
@@ -201,12 +201,19 @@
 
 func (g *Group) superseded(ctx context.Context, leader hingeids.HostID) bool {
 	if g.member != nil {
-		return g.Standing().Leader.Host != leader
+		s := g.Standing()
+		return s.Leader.Host != leader || leader == g.settings.Self && g.stuck(s)
 	}
 	h := g.look(ctx)
 	return h != "" && h != leader
 }
 
+// stuck reports whether this host takes itself for the leader and hasn't renewed its lease since. Its loop waits for
+// a disk that doesn't answer: it can't even learn that another leads, and whoever asks here would hear nothing until the disk is back.
+func (g *Group) stuck(s Standing) bool {
+	return !s.LeadsUntil.IsZero() && g.settings.Clock().After(s.LeadsUntil.Add(g.settings.Election))
+}
+
 func (g *Group) askHost(ctx context.Context, h hingeids.HostID, what string, body []byte) (outcome, error) {
 	if h == g.settings.Self && g.member != nil {
 		return g.local(ctx, what, body), nil
--- a/internal/capacity/hingeplacer/caller.go
+++ b/internal/capacity/hingeplacer/caller.go
@@ -8,44 +8,28 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
-	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
 
 // PlaceCall asks the placers in turn for a replica, and the own host if none answers (rule 3). The context ends
 // when the caller leaves.
 func (o *Owner) PlaceCall(ctx context.Context, c Call) CallPlacement {
 	began := o.clock()
-	inTime, left := c.InTime, c.Left
-	for _, h := range o.fleets.Placers() {
-		if o.calls.isSilent(h) {
-			continue
-		}
-		passed := o.clock().Sub(began)
-		c.InTime = max(inTime-passed, 0)
-		c.Left = left - passed
-		a, err := o.askCall(ctx, h, c)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			o.recorder.Record(time.Now(), hingeevents.PlacerSilent, hingeevents.Fields{
-				Host:   h,
-				Detail: err.Error(),
-			})
-			continue
-		}
-		if !a.NotHere {
-			return a
-		}
+	var placed CallPlacement
+	if o.inTurn(ctx, o.calls, func(h hingeids.HostID) (bool, error) {
+		var err error
+		placed, err = o.askCall(ctx, h, c.after(o.clock().Sub(began)))
+		return placed.NotHere, err
+	}) {
+		return placed
 	}
 	if ctx.Err() != nil {
 		return CallPlacement{
 			Refused: true,
 		}
 	}
-	a := o.alone.PlaceCall(ctx, c)
-	a.Alone = true
-	return a
+	placed = o.alone.PlaceCall(ctx, c.after(o.clock().Sub(began)))
+	placed.Alone = true
+	return placed
 }
 
 // errSilent says that a placer didn't answer a question that was asked twice.
--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -106,6 +106,13 @@
 	Avoid    []hingeids.ServerID `cbor:"6,keyasint,omitempty"`
 }
 
+// after gives the call as it is when some of its time has passed.
+func (c Call) after(passed time.Duration) Call {
+	c.InTime = max(c.InTime-passed, 0)
+	c.Left -= passed
+	return c
+}
+
 func (c Call) wanted(now time.Time) hingequeue.Want {
 	return hingequeue.Want{
 		ID:       c.ID,
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -117,13 +117,33 @@
 
 // placeOnce asks the placers in turn, and the own host if none answers (rule 3).
 func (o *Owner) placeOnce(ctx context.Context, w Want) Placement {
+	var placed Placement
+	if o.inTurn(ctx, o.reach, func(h hingeids.HostID) (bool, error) {
+		var err error
+		placed, err = o.ask(ctx, h, w)
+		return placed.NotHere, err
+	}) {
+		return placed
+	}
+	if ctx.Err() != nil {
+		return Placement{
+			Refused: true,
+		}
+	}
+	placed = o.alone.Place(ctx, o.self, w)
+	placed.Alone = true
+	return placed
+}
+
+// inTurn asks the placers that aren't taken for silent until one answers that it places here, and reports whether one did.
+func (o *Owner) inTurn(ctx context.Context, r *reach, ask func(h hingeids.HostID) (notHere bool, err error)) bool {
 	for _, h := range o.fleets.Placers() {
-		if o.reach.isSilent(h) {
+		if r.isSilent(h) {
 			continue
 		}
-		a, err := o.ask(ctx, h, w)
+		notHere, err := ask(h)
 		if ctx.Err() != nil {
-			break
+			return false
 		}
 		if err != nil {
 			o.recorder.Record(time.Now(), hingeevents.PlacerSilent, hingeevents.Fields{
@@ -132,18 +152,11 @@
 			})
 			continue
 		}
-		if !a.NotHere {
-			return a
-		}
-	}
-	if ctx.Err() != nil {
-		return Placement{
-			Refused: true,
+		if !notHere {
+			return true
 		}
 	}
-	a := o.alone.Place(ctx, o.self, w)
-	a.Alone = true
-	return a
+	return false
 }
 
 func (o *Owner) ask(ctx context.Context, h hingeids.HostID, w Want) (Placement, error) {
