Placements say where servers are, control hosts hear at once, and a host's own news of a leaving server counts

Cause: changes of servers are gathered for up to 0.3 s before entry hosts hear of them.

Ruled out: a shorter gathering (the leader gave 2,500 answers a second for it, and was taken for silent by 330 hosts in a second).

Change: a placement carries addresses, for streams and plain requests; gathering is for entry hosts only; a server that the own host knows to take no more work gets nothing, whatever the placer says.

--- a/internal/capacity/hingeplacer/alone.go
+++ b/internal/capacity/hingeplacer/alone.go
@@ -83,6 +83,11 @@
 	return out
 }
 
+// Address gives the address of a server, if it is known.
+func (s ownShare) Address(id hingeids.ServerID) (string, bool) {
+	return s.fleets.Address(id)
+}
+
 // leastConnections lets every host have a request at a replica and another behind it, however many
 // hosts there are.
 const leastConnections = 2
--- a/internal/capacity/hingeplacer/calls.go
+++ b/internal/capacity/hingeplacer/calls.go
@@ -120,7 +120,7 @@
 	if server, placed := q.Placed(c.ID); placed {
 		answer(CallPlacement{
 			Server:  server,
-			Address: addressOf(p.servers.Replicas()[c.Service], server),
+			Address: p.address(server),
 		})
 		return
 	}
@@ -165,7 +165,7 @@
 		for _, d := range q.Step(now) {
 			p.answerCall(d.ID, CallPlacement{
 				Server:     d.Server,
-				Address:    addressOf(replicas[s], d.Server),
+				Address:    p.address(d.Server),
 				Refused:    d.Refused,
 				RetryAfter: d.RetryAfter,
 			})
@@ -175,15 +175,6 @@
 	return left
 }
 
-func addressOf(list []hingebalance.Replica, id hingeids.ServerID) string {
-	for _, r := range list {
-		if r.Server == id {
-			return r.Address
-		}
-	}
-	return ""
-}
-
 // handBackCalls gives what waits in a queue back to its owners. A control host that has just
 // started has heard of no replica yet; its owners have.
 func (p *Placer) handBackCalls(q *hingequeue.Queue) {
--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -61,10 +61,12 @@
 	}
 }
 
-// Placement is the placer's answer.
+// Placement is the placer's answer. It says where servers are, since the placer may have heard of them before the owner.
 type Placement struct {
-	Prefill hingeids.ServerID `cbor:"1,keyasint,omitempty"`
-	Decode  hingeids.ServerID `cbor:"2,keyasint,omitempty"`
+	Prefill   hingeids.ServerID `cbor:"1,keyasint,omitempty"`
+	PrefillAt string            `cbor:"11,keyasint,omitempty"`
+	Decode    hingeids.ServerID `cbor:"2,keyasint,omitempty"`
+	DecodeAt  string            `cbor:"12,keyasint,omitempty"`
 	// Refused says that nothing is granted; RetryAfter is when to come back.
 	Refused    bool          `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
@@ -127,7 +129,7 @@
 // CallPlacement is the placer's answer.
 type CallPlacement struct {
 	Server hingeids.ServerID `cbor:"1,keyasint,omitempty"`
-	// Address is where the server is: the placer may have heard of it before the owner.
+	// Address is where the server is.
 	Address    string        `cbor:"7,keyasint,omitempty"`
 	Refused    bool          `cbor:"2,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -55,6 +55,8 @@
 type Servers interface {
 	Engines() map[hingeids.Service][]hingefleet.Engine
 	Replicas() map[hingeids.Service][]hingebalance.Replica
+	// Address gives the address of a server, if it is known.
+	Address(id hingeids.ServerID) (string, bool)
 }
 
 // Placer places streams while Leads says so.
@@ -360,7 +362,9 @@
 	delete(p.waiting, d.ID)
 	answer <- Placement{
 		Prefill:    d.Grant.Prefill,
+		PrefillAt:  p.address(d.Grant.Prefill),
 		Decode:     d.Grant.Decode,
+		DecodeAt:   p.address(d.Grant.Decode),
 		Refused:    d.Refused,
 		RetryAfter: d.RetryAfter,
 		Waited:     d.Waited,
@@ -368,3 +372,9 @@
 		Short:      d.Short,
 	}
 }
+
+// address gives a server's address, empty if it isn't known.
+func (p *Placer) address(id hingeids.ServerID) string {
+	a, _ := p.servers.Address(id)
+	return a
+}
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// Address gives each server an address that names it.
+func (engines) Address(id hingeids.ServerID) (string, bool) {
+	return string(id) + ":80", true
+}
+
 // fleets is what an entry host of the test knows.
 type fleets struct {
 	engines
--- a/internal/decide/hingebalance/balance_test.go
+++ b/internal/decide/hingebalance/balance_test.go
@@ -307,3 +307,120 @@
 		t.Fatal("a connection that is free again isn't used")
 	}
 }
+
+// slotted is one replica of six slots.
+func slotted() []Replica {
+	return []Replica{
+		{
+			Server: "app-1",
+			Zone:   "cancale",
+			Slots:  6,
+		},
+	}
+}
+
+// fill chooses until there is no room, and gives how many were chosen.
+func fill(b *Balance, now time.Time, list []Replica) int {
+	for n := 0; ; n++ {
+		if _, found := b.Choose(now, list, fromCancale); found != Chosen {
+			return n
+		}
+	}
+}
+
+// One balance knows of all requests in a burst. What it sent beyond the slots would wait in the replica's queue, be refused after half of its time,
+// and have new connections reset; what it held back beyond need would leave slots idle while the next request is on its way.
+func TestReplicaHasNoMoreThanItWorksOnAndWhatIsOnTheWay(t *testing.T) {
+	for handOver, want := range map[time.Duration]int{
+		0:                     7,
+		10 * time.Millisecond: 9,
+		time.Second:           12,
+	} {
+		b := New(1)
+		b.SetHandOver(handOver)
+		if got := fill(b, start, slotted()); got != want {
+			t.Errorf("with %v between two requests: %d at once, want %d", handOver, got, want)
+		}
+	}
+}
+
+// Other callers use the replica too, and it refuses. It gets fewer requests, or each burst would be turned away again; once it has
+// answered for a while it gets as many as before.
+func TestReplicaThatRefusesGetsFewerForAWhile(t *testing.T) {
+	b := New(1)
+	list := slotted()
+	now := start
+	full := fill(b, now, list)
+	for range 3 {
+		b.Done(now, "app-1", "cancale", Full, time.Millisecond)
+	}
+	now = now.Add(fullAway + time.Millisecond)
+	if got := full - 3 + fill(b, now, list); got > full-2 {
+		t.Errorf("%d at once after three refusals, %d before", got, full)
+	}
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		b.Done(now, "app-1", "cancale", Answered, 25*time.Millisecond)
+		fill(b, now, list)
+	}
+	if got := b.state("app-1").open; got != full {
+		t.Errorf("%d at once after a second without refusals, %d before", got, full)
+	}
+}
+
+// A replica takes requests and answers none, from one moment on, and its connections stay up. Each request sent there is lost
+// after all of its caller's time. It must lose them before the first one has failed, and be tried again now and then.
+func TestSilentReplicaLosesItsRequestsBeforeAnyFails(t *testing.T) {
+	b := New(1)
+	list := append(slotted(), Replica{
+		Server: "app-2",
+		Zone:   "cancale",
+		Slots:  6,
+	})
+	now := start
+	silent := 0
+	for range 600 {
+		now = now.Add(5 * time.Millisecond)
+		r, found := b.Choose(now, list, Ask{
+			Zone:   "cancale",
+			Within: 150 * time.Millisecond,
+		})
+		if found != Chosen {
+			continue
+		}
+		if r.Server == "app-1" {
+			// Its place is given free after a while, as whoever counts requests does.
+			silent++
+			b.Expire("app-1")
+			continue
+		}
+		b.Done(now, "app-2", "cancale", Answered, 25*time.Millisecond)
+	}
+	// Some until it is noticed, and one each 0.7 s in three seconds.
+	if silent > 25 || silent < 4 {
+		t.Errorf("the silent replica got %d of 600 requests", silent)
+	}
+}
+
+// A cut parts the hosts of one zone from a replica. Theirs go elsewhere at once; hosts of other zones reach it, and would lose a
+// third of what there is if it were taken for dark.
+func TestReplicaThatOneZoneCannotReachIsLeftToTheOthers(t *testing.T) {
+	b := New(1)
+	list := slotted()
+	for range unreachedLimit {
+		b.Choose(start, list, fromCancale)
+		b.Done(start, "app-1", "cancale", Unreached, 100*time.Millisecond)
+	}
+	now := start.Add(time.Millisecond)
+	if _, found := b.Choose(now, list, fromCancale); found != None {
+		t.Error("cancale still tries what it can't reach")
+	}
+	if _, found := b.Choose(now, list, Ask{
+		Zone: "roscoff",
+	}); found != Chosen {
+		t.Error("roscoff doesn't get the replica that it reaches")
+	}
+	if rate := b.Rate(now, list); rate == 0 {
+		t.Error("the replica counts for nothing")
+	}
+}
--- /dev/null
+++ b/internal/decide/hingequeue/bench_test.go
@@ -0,0 +1,48 @@
+package hingequeue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+)
+
+// BenchmarkPlace is one request from its asking to the end at its replica.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []int{5, 50, 500, 6400} {
+		b.Run(fmt.Sprintf("%d replicas", size), func(b *testing.B) {
+			q := New(1)
+			var list []hingebalance.Replica
+			for i := range size {
+				list = append(list, hingebalance.Replica{
+					Server: hingeids.ServerID(fmt.Sprint("app-", i)),
+					Zone:   "cancale",
+					Slots:  6,
+				})
+			}
+			q.SetReplicas(list)
+			now := began
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(50 * time.Microsecond)
+				q.Offer(now, Want{
+					ID:       CallID(fmt.Sprint(i)),
+					Zone:     "cancale",
+					Due:      now.Add(150 * time.Millisecond),
+					Deadline: now.Add(time.Second),
+				})
+				for _, d := range q.Step(now) {
+					q.End(now, End{
+						ID:     d.ID,
+						Server: d.Server,
+						Zone:   "cancale",
+						Took:   30 * time.Millisecond,
+					})
+				}
+			}
+		})
+	}
+}
--- a/internal/membership/hingefollow/follow_test.go
+++ b/internal/membership/hingefollow/follow_test.go
@@ -429,3 +429,31 @@
 		}
 	})
 }
+
+// A control host with a hundred followers hears of a server. The other control hosts place requests by what they hear, and are told at once.
+func TestControlHostsHearAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		for i := range 100 {
+			x.follow(hingeids.HostID(fmt.Sprint("entry-", i)), "control-1")
+		}
+		d := &directory{
+			records: hingeannounce.NewDirectory("control-2"),
+		}
+		f := New(Settings{
+			Self:  "control-2",
+			Clock: time.Now,
+			Took:  d.took,
+		}, x.network.Link("control-3"), []hingeids.HostID{"control-1"})
+		x.running = append(x.running, f)
+		go func() {
+			_ = f.Run(x.ctx)
+		}()
+		x.all["control-1"].accept(1)
+		time.Sleep(3 * time.Second)
+		x.all["control-1"].source.Hear(time.Now(), announcement("server"))
+		time.Sleep(2 * leastGather)
+		if len(d.servers()) != 1 {
+			t.Error("another control host hasn't heard of the server")
+		}
+	})
+}
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -286,7 +286,7 @@
 		s.mu.Lock()
 		servers := s.changed
 		news := s.directory.Change() > q.Change
-		gather := s.gatherTime()
+		gather := s.gatherTime(q)
 		s.mu.Unlock()
 		if s.origin.Documents().Load().Version > q.Version || s.origin.Standing().Leader != leader {
 			hingeclock.Pause(ctx, leastGather)
@@ -307,7 +307,11 @@
 	}
 }
 
-// gatherTime is how long changes of servers are gathered (rule 7). The caller holds the lock.
-func (s *Source) gatherTime() time.Duration {
+// gatherTime is how long changes of servers are gathered (rule 7). Other control hosts are few, and place requests by what they
+// hear. The caller holds the lock.
+func (s *Source) gatherTime(q question) time.Duration {
+	if !q.Entry {
+		return leastGather
+	}
 	return min(max(time.Duration(len(s.entries))*gatherPerFollower, leastGather), mostGather)
 }
--- a/internal/membership/hingeworld/world.go
+++ b/internal/membership/hingeworld/world.go
@@ -24,6 +24,8 @@
 	replicas  map[hingeids.Service][]hingebalance.Replica
 	engines   map[hingeids.Service][]hingefleet.Engine
 	addresses map[hingeids.ServerID]string
+	// gone are the servers that take no more work, as far as they are remembered.
+	gone map[hingeids.ServerID]bool
 	// digest is of the servers, whatever their order; version names it and the table.
 	digest  uint64
 	version string
@@ -37,6 +39,12 @@
 		replicas:  make(map[hingeids.Service][]hingebalance.Replica),
 		engines:   make(map[hingeids.Service][]hingefleet.Engine),
 		addresses: make(map[hingeids.ServerID]string),
+		gone:      make(map[hingeids.ServerID]bool),
+	}
+	for _, r := range records {
+		if !r.Usable() {
+			w.gone[r.Announcement.Server.InLife(r.Announcement.Incarnation)] = true
+		}
 	}
 	for _, r := range usable(t, records) {
 		a := r.Announcement
@@ -174,6 +182,11 @@
 	return a, ok
 }
 
+// Gone reports whether a server is known to take no more work. One that was never heard of isn't.
+func (w *World) Gone(id hingeids.ServerID) bool {
+	return w.gone[id]
+}
+
 // Engines gives the engines of every service that may be used.
 func (w *World) Engines() map[hingeids.Service][]hingefleet.Engine {
 	return w.engines
--- a/internal/membership/hingeworld/world_test.go
+++ b/internal/membership/hingeworld/world_test.go
@@ -142,3 +142,36 @@
 		}
 	}
 }
+
+// Three hundred hosts hear of two engines in different orders. Somebody who follows one request over their logs has to see which
+// of them knew the same, and what control hosts wrote at the change that made the difference.
+func TestVersionNamesWhatIsKnown(t *testing.T) {
+	other := beat("other", 1)
+	other.Address = "10.0.0.2:80"
+	one, two := hingeannounce.NewDirectory("control-1"), hingeannounce.NewDirectory("control-2")
+	one.Hear(began, beat("engine", 1))
+	before := Build(nil, one.Since(0))
+	one.Hear(began, other)
+	two.Hear(began, other)
+	two.Hear(began, beat("engine", 1))
+	after := Build(nil, one.Since(0))
+	if x, y := after.Version(), Build(nil, two.Since(0)).Version(); x != y {
+		t.Errorf("the same servers are %s and %s", x, y)
+	}
+	if after.Version() == before.Version() {
+		t.Errorf("one and two servers are both %s", after.Version())
+	}
+	usable, gone := after.Since(before)
+	if diff := cmp.Diff([]hingeids.ServerID{"other"}, usable); diff != "" || len(gone) > 0 {
+		t.Errorf("gone %v, usable %s", gone, diff)
+	}
+	usable, gone = before.Since(after)
+	if diff := cmp.Diff([]hingeids.ServerID{"other"}, gone); diff != "" || len(usable) > 0 {
+		t.Errorf("usable %v, gone %s", usable, diff)
+	}
+	if v := Build(&hingeroutes.Table{
+		Version: 7,
+	}, nil).Version(); v != "7/00000000" {
+		t.Errorf("nothing but a configuration is %s", v)
+	}
+}
--- a/internal/observe/hingeevents/events.go
+++ b/internal/observe/hingeevents/events.go
@@ -299,6 +299,7 @@
 	add(f.Fence != 0, "fence", f.Fence)
 	add(f.Took != 0, "took", f.Took)
 	add(f.Count != 0, "count", f.Count)
+	add(f.World != "", "world", f.World)
 	add(f.Route != "", "route", f.Route)
 	add(f.Late != "", "late", f.Late)
 	add(f.Detail != "", "detail", f.Detail)
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -24,14 +24,13 @@
 	err     error
 }
 
-func (p *Proxy) dialAhead(ctx context.Context, id hingeids.ServerID) *ahead {
+func (p *Proxy) dialAhead(ctx context.Context, address string) *ahead {
 	a := &ahead{
 		dialled: make(chan struct{}),
 	}
 	var one context.Context
 	one, a.stop = context.WithCancel(ctx)
-	address, ok := p.world.Address(id)
-	if !ok {
+	if address == "" {
 		a.err = hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
 		close(a.dialled)
 		return a
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -167,7 +167,11 @@
 
 // exchange has one replica answer. The error carries the verdict.
 func (p *Proxy) exchange(ctx context.Context, j *job, c hingeplacer.CallPlacement) (*whole, error) {
-	x, err := hingewire.Begin(ctx, c.Address, j.sent(p.dialect, Sending{
+	address := p.addressOf(c.Server, c.Address)
+	if address == "" {
+		return nil, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, 0, eris.New("the server takes no more work"))
+	}
+	x, err := hingewire.Begin(ctx, address, j.sent(p.dialect, Sending{
 		Server: c.Server,
 		Left:   p.left(j),
 		After:  j.asked.After,
--- a/internal/path/hingeproxy/prefill.go
+++ b/internal/path/hingeproxy/prefill.go
@@ -13,9 +13,8 @@
 )
 
 // prefill has an engine work the prompt.
-func (p *Proxy) prefill(ctx context.Context, r *run, id hingeids.ServerID) (Cache, *hingeverdict.Error) {
-	address, ok := p.world.Address(id)
-	if !ok {
+func (p *Proxy) prefill(ctx context.Context, r *run, id hingeids.ServerID, address string) (Cache, *hingeverdict.Error) {
+	if address == "" {
 		return Cache{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
 	}
 	one, stop := context.WithTimeout(ctx, prefillTime)
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -104,8 +104,8 @@
 	Changed() <-chan struct{}
 	// Version names all that is known of the configuration and of servers.
 	Version() string
-	// Address gives the address of a server, if it is known.
-	Address(id hingeids.ServerID) (string, bool)
+	// Gone reports whether a server is known to take no more work.
+	Gone(id hingeids.ServerID) bool
 	Entries() int
 }
 
@@ -257,6 +257,15 @@
 	return fmt.Sprintf("%s/%d/%d", p.settings.Self.Host, p.settings.Self.Incarnation, p.sequence)
 }
 
+// addressOf gives where a server that was chosen is, empty if it takes no more work. A placer that is parted from other control hosts
+// may not have heard what this host has; the other way round, it may know of servers that this host hasn't heard of.
+func (p *Proxy) addressOf(id hingeids.ServerID, address string) string {
+	if p.world.Gone(id) {
+		return ""
+	}
+	return address
+}
+
 // left is how much time a job has.
 func (p *Proxy) left(j *job) time.Duration {
 	return j.deadline.Sub(p.settings.Clock())
--- a/internal/path/hingeproxy/proxy_test.go
+++ b/internal/path/hingeproxy/proxy_test.go
@@ -529,3 +529,22 @@
 		t.Fatalf("%d arrivals were taken from the budget, want 2", spent)
 	}
 }
+
+// Control hosts are cut off from each other. The one that places hasn't heard that a replica leaves; this host has, from another. What
+// it still sent there could be cut off with the replica's end.
+func TestServerThatThisHostKnowsToLeaveGetsNothing(t *testing.T) {
+	leaving := newStandin(t, "app-1", 0, nil)
+	other := newStandin(t, "app-2", 0, nil)
+	d := newDoor(t, leaving, other)
+	d.world.gone = map[hingeids.ServerID]bool{
+		"app-1": true,
+	}
+	for range 10 {
+		if g := d.ask("/status/7"); g.Status != http.StatusOK {
+			t.Errorf("%+v", g)
+		}
+	}
+	if n := leaving.ran(); n != 0 {
+		t.Errorf("the leaving replica ran %d requests", n)
+	}
+}
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -220,6 +220,8 @@
 type world struct {
 	table    hingeboard.Cell[hingeroutes.Table]
 	standins []*standin
+	// gone are servers that are known to take no more work.
+	gone map[hingeids.ServerID]bool
 }
 
 func (w *world) set(t *hingeroutes.Table) { w.table.Store(t) }
@@ -247,6 +249,8 @@
 	}
 }
 
+func (w *world) Gone(id hingeids.ServerID) bool { return w.gone[id] }
+
 func (w *world) Version() string { return "1/00000000" }
 
 func (w *world) Address(id hingeids.ServerID) (string, bool) {
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -174,11 +174,11 @@
 	defer func() {
 		placed.stream.End()
 	}()
-	ahead := p.dialAhead(ctx, placed.Decode)
+	ahead := p.dialAhead(ctx, p.addressOf(placed.Decode, placed.DecodeAt))
 	var cache Cache
 	placedAt := p.settings.Clock()
 	if placed.Prefill != "" {
-		cache, err = p.prefill(ctx, r, placed.Prefill)
+		cache, err = p.prefill(ctx, r, placed.Prefill, p.addressOf(placed.Prefill, placed.PrefillAt))
 	}
 	if err != nil {
 		ahead.close()
@@ -210,7 +210,7 @@
 		}
 		placed.stream.End()
 		placed = next
-		ahead = p.dialAhead(ctx, placed.Decode)
+		ahead = p.dialAhead(ctx, p.addressOf(placed.Decode, placed.DecodeAt))
 	}
 	p.wasted(r, placed, r.asked.Prompt+made, err)
 	if cache != (Cache{}) && (err.Verdict == hingeverdict.NotRun || ctx.Err() != nil) {
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -117,9 +117,7 @@
 	}, c.link, o.Seeds)
 	c.placer = hingeplacer.New(c, c.places, hingeclock.Boot)
 	c.placer.Handle(c.link, c.options.Recorder)
-	c.roles = newRoles(c, o.Engines(func(id hingeids.ServerID) (string, bool) {
-		return c.world.Load().Address(id)
-	}))
+	c.roles = newRoles(c, o.Engines(c.Address))
 	return c, nil
 }
 
@@ -288,6 +286,11 @@
 	return out
 }
 
+// Address gives the address of a server, if it is known.
+func (c *Control) Address(id hingeids.ServerID) (string, bool) {
+	return c.world.Load().Address(id)
+}
+
 // Replicas gives the replicas that requests may be sent to: all of them for the leader, those of the own zone for a
 // host that hears no leader.
 func (c *Control) Replicas() map[hingeids.Service][]hingebalance.Replica {
--- a/internal/serve/hingefront/world.go
+++ b/internal/serve/hingefront/world.go
@@ -43,6 +43,11 @@
 	return f.world.Load().Address(id)
 }
 
+// Gone reports whether a server is known to take no more work.
+func (f *Front) Gone(id hingeids.ServerID) bool {
+	return f.world.Load().Gone(id)
+}
+
 // Engines gives the engines that may be used.
 func (f *Front) Engines() map[hingeids.Service][]hingefleet.Engine {
 	return f.world.Load().Engines()
