A route without a target has any answer before the deadline in time

Cause: read in review. A plain request on a route without a target was taken for late from its arrival, and would be refused in a burst before others. Ruled out: that the users' routes are touched; all of theirs have a target. Change: such a request is due at its deadline.

--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -100,7 +100,7 @@
 	Service hingeids.Service  `cbor:"1,keyasint"`
 	ID      hingequeue.CallID `cbor:"2,keyasint"`
 	Zone    hingeids.Zone     `cbor:"3,keyasint,omitempty"`
-	// InTime is how long its answer is of full worth, zero if it never was; Left is how long its caller waits.
+	// InTime is how long its answer is of full worth, zero if it is late already; Left is how long its caller waits.
 	InTime time.Duration `cbor:"4,keyasint,omitempty"`
 	Left   time.Duration `cbor:"5,keyasint"`
 	// Patience is how long the caller said that it would wait, zero if it said nothing.
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -102,7 +102,8 @@
 ) (hingequeue.CallID, hingeplacer.CallPlacement) {
 	now := p.settings.Clock()
 	id := hingequeue.CallID(p.nextID())
-	inTime := time.Duration(0)
+	// Without a target any answer before the deadline is in time.
+	inTime := p.left(j)
 	if j.route.Target > 0 {
 		inTime = max(j.Arrived.Add(j.route.Target).Sub(now), 0)
 	}
