Streams are looked at when one of theirs comes or is due, not with each plain request

Once a stream waited, each plain request had the placer look at all streams and engines, a thousand times a second, and each set the timer of the idle look anew.

Change: each of the two kinds has its own time of the next look.

--- a/internal/capacity/hingeplacer/calls.go
+++ b/internal/capacity/hingeplacer/calls.go
@@ -124,7 +124,7 @@
 		})
 		return
 	}
-	p.callsDue = true
+	p.calls.came = true
 	p.asking[c.ID] = answer
 	q.Offer(now, c.wanted(now))
 }
@@ -132,7 +132,7 @@
 // EndCall takes how a request ended at its replica. One that still waits is forgotten.
 func (p *Placer) EndCall(e callEnd) {
 	p.postOrLose(func(now time.Time) {
-		p.callsDue = true
+		p.calls.came = true
 		q := p.queue(e.Service)
 		if p.asking[e.End.ID] != nil {
 			delete(p.asking, e.End.ID)
--- a/internal/capacity/hingeplacer/calls_test.go
+++ b/internal/capacity/hingeplacer/calls_test.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 )
 
@@ -142,3 +146,55 @@
 		}
 	})
 }
+
+// counted counts the looks at engines.
+type counted struct {
+	engines
+	looks atomic.Int64
+}
+
+func (c *counted) Engines() map[hingeids.Service][]hingefleet.Engine {
+	c.looks.Add(1)
+	return c.engines.Engines()
+}
+
+// A burst of plain requests comes while streams wait for engines. Each look at the streams goes over all engines; if every plain request
+// had one done, the leader's processor would be used up, hosts would take it for silent, and streams be refused beside free engines. If
+// plain requests kept the next look away, streams would wait for nothing.
+func TestPlainRequestsDoNotSetThePaceOfStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		servers := &counted{}
+		p := New(servers, func() bool {
+			return true
+		}, time.Now)
+		go func() {
+			_ = p.Run(ctx)
+		}()
+		defer func() {
+			stop()
+			<-p.Done()
+		}()
+		time.Sleep(time.Second)
+		waiting, leave := context.WithCancel(ctx)
+		defer leave()
+		for i := range 12 {
+			go p.Place(waiting, "entry-1", want(fmt.Sprint(i)))
+		}
+		time.Sleep(50 * time.Millisecond)
+		before := servers.looks.Load()
+		for i := range 200 {
+			c := quayQuery(i)
+			a := p.PlaceCall(ctx, c)
+			p.EndCall(callEnd{
+				Service: c.Service,
+				End:     endOf(c, a),
+			})
+			time.Sleep(time.Millisecond)
+		}
+		looks := servers.looks.Load() - before
+		if most := int64(200*time.Millisecond/stepEvery) + 2; looks > most || looks < most/2 {
+			t.Errorf("%d looks at streams in 200 ms, want up to %d", looks, most)
+		}
+	})
+}
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -73,9 +73,9 @@
 	sequence map[hingeids.HostID]uint64
 	// ledSince is when this host began to place, zero while it doesn't.
 	ledSince time.Time
-	// streamsDue and callsDue say that something came since the last step.
-	streamsDue bool
-	callsDue   bool
+	// streams and calls are when streams and requests of plain services are looked at.
+	streams look
+	calls   look
 
 	queues map[hingeids.Service]*hingequeue.Queue
 	asking map[hingequeue.CallID]func(CallPlacement)
@@ -150,35 +150,51 @@
 			f(p.clock())
 			p.drain()
 		case <-timer.C:
-			p.streamsDue = true
-			p.callsDue = true
 		}
-		next := idleEvery
-		if p.step(p.clock()) {
-			next = stepEvery
-		}
-		timer.Reset(next)
+		timer.Reset(p.step(p.clock()))
 	}
 }
 
-// step decides on what has come or is due, and reports whether something still waits. Requests of plain
-// services come many times as often as streams, whose step looks at every engine.
-func (p *Placer) step(now time.Time) bool {
+// step decides on what has come or is due, and gives when something is due again. Each of the two kinds is looked at when
+// one of its own comes, or its own time is over: requests of plain services come many times as often as streams, whose
+// step looks at every engine, and would else have it done a thousand times a second while streams wait.
+func (p *Placer) step(now time.Time) time.Duration {
 	if !p.leads() {
 		p.stepDown()
-		return false
+		return idleEvery
 	}
 	if p.ledSince.IsZero() {
 		p.ledSince = now
-		p.streamsDue = true
+		p.streams = look{}
+		p.calls = look{}
+	}
+	if p.streams.isDue(now) {
+		p.streams.done(now, p.stepStreams(now))
 	}
-	if p.streamsDue {
-		p.streamsDue = p.stepStreams(now) > 0
+	if p.calls.isDue(now) {
+		p.calls.done(now, p.stepCalls(now))
 	}
-	if p.callsDue {
-		p.callsDue = p.stepCalls(now) > 0
+	return min(p.streams.next.Sub(now), p.calls.next.Sub(now))
+}
+
+// look is when something is looked at.
+type look struct {
+	// came says that something has come since the last time.
+	came bool
+	next time.Time
+}
+
+func (l *look) isDue(now time.Time) bool {
+	return l.came || !now.Before(l.next)
+}
+
+// done notes a look, after which so many still wait.
+func (l *look) done(now time.Time, waiting int) {
+	l.came = false
+	l.next = now.Add(idleEvery)
+	if waiting > 0 {
+		l.next = now.Add(stepEvery)
 	}
-	return p.streamsDue || p.callsDue
 }
 
 func (p *Placer) drain() {
@@ -265,7 +281,7 @@
 		}
 		return
 	}
-	p.streamsDue = true
+	p.streams.came = true
 	p.waiting[w.ID] = answer
 	p.fleet(w.Service).Offer(now, w.wanted(now, owner))
 }
@@ -290,7 +306,7 @@
 		return
 	}
 	p.sequence[owner] = r.Sequence
-	p.streamsDue = true
+	p.streams.came = true
 	for s := range r.Streams {
 		p.fleet(s)
 	}
