Wrap the follower's rules and keep the queue's figures together

Cause: read as a newcomer. Ruled out: any change of behaviour; comments and the place of two constants only. Change: as the title says. Conclusion: none needed.

--- a/internal/decide/hingequeue/queue.go
+++ b/internal/decide/hingequeue/queue.go
@@ -26,9 +26,6 @@
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 )
 
-// startHandOver is taken before any end was told: two trips between zones, and a busy moment of a host.
-const startHandOver = 4 * time.Millisecond
-
 // CallID names one attempt of a request at a replica.
 type CallID string
 
@@ -76,8 +73,12 @@
 	// endTimes is how many times the usual a request counts at its replica whose end isn't told (rule 4): one answer in a hundred takes
 	// longer, and three in a hundred may be lost. Those that count while their slots are free leave the slots idle.
 	endTimes = 4
+	// sweepEvery is how often such requests are looked for.
+	sweepEvery = 20 * time.Millisecond
 	// leastEnd is the least of that time: a host with a fifth of a core may be busy for as long.
 	leastEnd = 100 * time.Millisecond
+	// startHandOver is taken before any end was told: two trips between zones, and a busy moment of a host.
+	startHandOver = 4 * time.Millisecond
 	// handOverWeight is the weight of a new reading of the hand-over: forty move it by two thirds.
 	handOverWeight = 0.025
 )
@@ -297,9 +298,6 @@
 	}
 }
 
-// sweepEvery is how often requests are looked for whose end isn't told.
-const sweepEvery = 20 * time.Millisecond
-
 // sweep is rule 4.
 func (q *Queue) sweep(now time.Time) {
 	if now.Sub(q.swept) < sweepEvery {
--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -3,7 +3,8 @@
 //
 //  1. A follower asks a few control hosts (mostFollowed), each with one long
 //     question at a time: those of its own zone first, then others by
-//     lot. The leader isn't preferred: it places requests, and has no more followers than the others. An answer comes at a change, or when the hold time is over. Each
+//     lot. The leader isn't preferred: it places requests, and needs its processor
+//     for that. An answer comes at a change, or when the hold time is over. Each
 //     answer is whole in itself, so a lost one costs a question and nothing else.
 //  2. A follower takes the newest of all that it hears: of the configuration the
 //     highest version, of a backend server the newest record. So a control host that is cut
@@ -18,9 +19,11 @@
 //     ends the round.
 //  6. A configuration comes from the first of those that are asked; the others only say its
 //     version, and send it when they are asked once more because it hasn't come.
-//  7. After a change of servers all followers have to be answered, hundreds of them. A control host gathers changes for as long as
-//     these answers take it, so that many changes in a row (a cut that ends, a start of everything) don't keep it from
-//     placing requests; followers that know as much get the same answer. A new leader or configuration is told at once.
+//  7. After a change of servers all followers have to be answered, hundreds of them. A
+//     control host gathers changes for as long as these answers take it, so that many
+//     changes in a row (a cut that ends, a start of everything) don't keep it from
+//     placing requests; followers that know as much get the same answer. A new leader
+//     or configuration is told at once.
 package hingefollow
 
 import (
