The account's reasons stand in one order

Change: the graver outcome stands first; the golden table is as it was. The fleet's programs don't use it.

--- a/internal/observe/hingeaccount/tables.go
+++ b/internal/observe/hingeaccount/tables.go
@@ -113,7 +113,9 @@
 		}
 	}
 	sorted := slices.SortedFunc(maps.Values(causes), func(x, y *cause) int {
-		return cmp.Or(cmp.Compare(y.count, x.count), cmp.Compare(x.reason, y.reason))
+		// The graver of two outcomes stands first, so that the same lines always give the same table.
+		return cmp.Or(cmp.Compare(y.count, x.count), cmp.Compare(x.reason, y.reason),
+			cmp.Compare(slices.Index(Outcomes, y.outcome), slices.Index(Outcomes, x.outcome)))
 	})
 	fmt.Fprintf(b, "%-20s %-44s %7s %8s  %s\n", "outcome", "reason", "count", "memory", "the first")
 	for _, c := range sorted {
