Customers are told by their keys, and denied only by a host that knows it is up to date

Cause: swifthinge-fleet knew no customers.

Change: hingecustomers holds customers by digests of their keys, checked whole; the door looks each request up, strips the key and sets the customer; public routes need none. A route or key that isn't known is denied only after a control host has confirmed by the leader that the configuration is the newest (hingefollow rule 8): found out once for all who ask within 100 ms, else 503 with a time to come back. Lines on denials are bounded to ten a second.

Ruled out: denying at once (401 and 404 are final, so whoever uses a key that was just added at a host that is behind is lost), and waiting a fixed time (a host that is cut off would deny what others allow).

--- a/internal/config/hingeroutes/routes.go
+++ b/internal/config/hingeroutes/routes.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -57,6 +58,8 @@
 	// Priority ranks routes; 0 goes first.
 	Priority  int
 	Resumable bool
+	// Public says that anybody may ask, where others need a customer's key.
+	Public bool
 	// Engine says that requests name a model and their prompt.
 	Engine bool
 }
@@ -103,8 +106,10 @@
 	Version  uint64
 	Routes   []Route
 	Services map[hingeids.Service]Service
-	Limits   Limits
-	byHost   map[string][]*Route
+	// Customers are those whose keys are asked for; nil where nobody needs one.
+	Customers *hingecustomers.Set
+	Limits    Limits
+	byHost    map[string][]*Route
 }
 
 // Index prepares Match; to be called once, before the table is shared.
--- a/internal/core/hingeids/ids.go
+++ b/internal/core/hingeids/ids.go
@@ -77,6 +77,9 @@
 // Tokens counts tokens of a prompt or of an answer.
 type Tokens int64
 
+// Units counts what a customer's quota is measured in: requests or tokens.
+type Units int64
+
 // Bytes counts bytes.
 type Bytes int64
 
--- a/internal/core/hingeverdict/codes.go
+++ b/internal/core/hingeverdict/codes.go
@@ -13,6 +13,8 @@
 	CodeKeyInProgress      Code = 1008
 	CodeKeyUncertain       Code = 1009
 	CodeMethodNotAllowed   Code = 1010
+	CodeNoRoute            Code = 1011
+	CodeNoCustomer         Code = 1012
 	CodeQueueFull          Code = 2001
 	CodeTargetOutOfReach   Code = 2002
 	CodeDeadline           Code = 2003
@@ -27,6 +29,8 @@
 	CodeCacheGone          Code = 3007
 	CodeServerGone         Code = 3008
 	CodeNoRoom             Code = 2006
+	CodeOverQuota          Code = 2007
+	CodeQuotaUnknown       Code = 2008
 	CodeNoQuorum           Code = 4001
 	CodeNotReady           Code = 4002
 	CodeLinkDown           Code = 4003
--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -24,6 +24,8 @@
 //     changes in a row (a cut that ends, a start of everything) don't keep it from
 //     placing requests; followers that know as much get the same answer. A new leader
 //     or configuration is told at once.
+//  8. What the configuration lacks is not denied by a follower that may be behind: it asks first whether
+//     there is a newer one, which a control host confirms by asking the leader.
 package hingefollow
 
 import (
@@ -180,7 +182,9 @@
 	mu    sync.Mutex
 	hosts map[hingeids.HostID]*host
 	seeds []hingeids.HostID
-	all   sync.WaitGroup
+	// newest is the last search of rule 8.
+	newest *finding
+	all    sync.WaitGroup
 }
 
 // New makes a follower of the seeds.
@@ -275,11 +279,16 @@
 	f.mu.Unlock()
 	one, stop := context.WithTimeout(ctx, hold+answerGrace)
 	defer stop()
+	return f.put(one, id, q)
+}
+
+// put puts a question to a control host.
+func (f *Follower) put(ctx context.Context, id hingeids.HostID, q question) (answer, error) {
 	body, err := cbor.Marshal(q)
 	if err != nil {
 		return answer{}, eris.Wrap(err, "question to a control host")
 	}
-	b, err := f.link.Call(one, id, methodFollow, body)
+	b, err := f.link.Call(ctx, id, methodFollow, body)
 	if err != nil {
 		return answer{}, err
 	}
--- a/internal/membership/hingefollow/follow_test.go
+++ b/internal/membership/hingefollow/follow_test.go
@@ -457,3 +457,47 @@
 		}
 	})
 }
+
+// A caller brings a key that this host doesn't know. Whether it was added a moment ago, only the leader can tell: a control
+// host that is in touch with it sends the newer configuration, one that hears no leader can't tell, and nobody is denied on its word.
+func TestNewestIsFoundOutBeforeADenial(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		for _, c := range x.all {
+			c.accept(3)
+		}
+		f, _ := x.follow("entry-1", "control-1")
+		time.Sleep(time.Second)
+		for _, c := range x.all {
+			// Nobody is woken, as if the change were still on its way.
+			c.documents.Load().Version = 4
+		}
+		if v, known := f.Newest(context.Background()); !known || v != 4 {
+			t.Fatalf("version %d, known %v", v, known)
+		}
+		for _, c := range x.all {
+			c.alone = true
+		}
+		time.Sleep(time.Second)
+		if v, known := f.Newest(context.Background()); known {
+			t.Fatalf("version %d is said to be the newest by hosts that hear no leader", v)
+		}
+	})
+}
+
+// Thousands of requests a second bring unknown keys. They share what was found out, or the leader would be asked by each.
+func TestFindingsAreShared(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		x.all["control-1"].accept(3)
+		x.all["control-2"].accept(3)
+		f, _ := x.follow("entry-1", "control-1")
+		time.Sleep(time.Second)
+		searches := make(map[*finding]bool)
+		for range 1000 {
+			searches[f.findNewest(time.Now())] = true
+			time.Sleep(time.Millisecond)
+		}
+		if n := len(searches); n > 11 {
+			t.Fatalf("%d searches in a second", n)
+		}
+	})
+}
--- a/internal/observe/hingeevents/path.go
+++ b/internal/observe/hingeevents/path.go
@@ -18,6 +18,8 @@
 	SlotMissed          Number = 113
 	HandlerPanicked     Number = 114
 	PromptWasted        Number = 115
+	RequestDenied       Number = 116
+	RequestOverQuota    Number = 117
 )
 
 var pathEntries = []Entry{
@@ -119,4 +121,16 @@
 		Severity: Info,
 		Text:     "A prompt was worked for nothing; count is its tokens, detail what became of its KV cache or of the stream that had it.",
 	},
+	{
+		Number:   RequestDenied,
+		Name:     "requestDenied",
+		Severity: Info,
+		Text:     "A request had no route, or no key of a customer; count is how many this line stands for, since few are written a second.",
+	},
+	{
+		Number:   RequestOverQuota,
+		Name:     "requestOverQuota",
+		Severity: Info,
+		Text:     "A customer asked more than its quota; count is how many requests this line stands for, took the time after which it was told to come back.",
+	},
 }
--- a/internal/path/hingeproxy/answer.go
+++ b/internal/path/hingeproxy/answer.go
@@ -12,12 +12,6 @@
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
 )
 
-// own gives an answer of the router's own.
-func (p *Proxy) own(w *hingewire.Writer, status int, id RequestID, text string) {
-	p.meter.ownAnswer(status)
-	w.Whole(status, p.dialect.Own(id), []byte(text))
-}
-
 // refuse gives the answer to an error (rule 2).
 func (p *Proxy) refuse(w *hingewire.Writer, id RequestID, err *hingeverdict.Error) {
 	status := statusOf(err)
@@ -35,6 +29,9 @@
 const shortestRetry = 100 * time.Millisecond
 
 func statusOf(err *hingeverdict.Error) int {
+	if status := statusOfDenial(err.Code); status != 0 {
+		return status
+	}
 	switch {
 	case err.Verdict == hingeverdict.NotRun:
 		return http.StatusServiceUnavailable
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -12,6 +12,10 @@
 //  5. When the caller leaves, everything that is done for it ends: the wait, the
 //     prefill, the KV cache that was exported, the run.
 //  6. What can't be served is refused at once, with a time to come back.
+//  7. A request needs the key of a customer, where the configuration has customers and its route isn't public. The key
+//     never goes on; whose request it is is told to the server by the router alone.
+//  8. That a route or a key isn't known is final for a caller, who doesn't ask again. It is said only if the configuration
+//     in force here is known to be the newest; until then the caller is told to come back.
 package hingeproxy
 
 import (
@@ -24,6 +28,7 @@
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
@@ -48,6 +53,8 @@
 	Hint    hingeids.Tokens
 	// After is the last event that the caller has, empty at the beginning.
 	After string
+	// Key is the one API key that the request brings, empty if it brings none or several.
+	Key hingecustomers.Key
 }
 
 // Cache names the KV cache of a finished prefill at its engine.
@@ -67,6 +74,8 @@
 	From Cache
 	// After is the last event that was passed on.
 	After string
+	// Customer is whose request it is, empty if nobody's.
+	Customer hingeids.CallerID
 }
 
 // Reply is what a backend server's headers say of its answer.
@@ -84,7 +93,7 @@
 // Dialect translates between headers and what they say.
 type Dialect interface {
 	Asked(h http.Header) Asked
-	// Outgoing gives the headers for a backend server: the caller's, without
+	// Outgoing gives the headers for a backend server: the caller's, without its key and
 	// those that are the router's to set, and what Sending says.
 	Outgoing(h http.Header, s Sending) http.Header
 	Reply(r *http.Response) Reply
@@ -104,6 +113,9 @@
 	Changed() <-chan struct{}
 	// Version names all that is known of the configuration and of servers.
 	Version() string
+	// Newest reports whether Table is known to be no older than the newest that was accepted before the call. It waits
+	// for a newer one that it hears of.
+	Newest(ctx context.Context) bool
 	// Gone reports whether a server is known to take no more work.
 	Gone(id hingeids.ServerID) bool
 	Entries() int
@@ -143,6 +155,8 @@
 	sequence      uint64
 	// held counts the requests that wait for the first configuration.
 	held int
+	// denials bounds the lines on requests that are denied.
+	denials bounded
 }
 
 var _ hingewire.Handler = (*Proxy)(nil)
@@ -169,8 +183,10 @@
 // job is one request on its way.
 type job struct {
 	*hingewire.Request
-	asked    Asked
-	route    *hingeroutes.Route
+	asked Asked
+	route *hingeroutes.Route
+	// customer is whose request it is; nil if nobody's.
+	customer *hingecustomers.Customer
 	service  hingeids.Service
 	deadline time.Time
 	writer   *hingewire.Writer
@@ -200,24 +216,26 @@
 		p.refuse(w, asked.ID, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNotReady, notReadyRetry, nil))
 		return
 	}
-	route := table.Match(hostName(r.Host), pathOf(r.Target))
-	if route == nil {
-		p.own(w, http.StatusNotFound, asked.ID, "no route for this host and path\n")
+	a := p.admit(ctx, r, asked, table)
+	if a.denied != nil {
+		p.deny(w, asked.ID, a.denied)
 		return
 	}
+	route := a.route
 	j := &job{
-		Request: r,
-		asked:   asked,
-		route:   route,
-		service: route.Service(string(asked.ID)),
-		writer:  w,
-		ran:     hingeverdict.NotRun,
+		Request:  r,
+		asked:    asked,
+		route:    route,
+		customer: a.customer,
+		service:  route.Service(string(asked.ID)),
+		writer:   w,
+		ran:      hingeverdict.NotRun,
 	}
 	j.deadline = r.Arrived.Add(waitOf(asked, route))
 	inner, stop := context.WithDeadline(ctx, time.Now().Add(j.deadline.Sub(p.settings.Clock())))
 	defer stop()
 	p.request(j.service)
-	if s := table.Services[j.service]; s.Engine != nil && route.Kind == hingeroutes.Stream && asked.Prompt > 0 {
+	if s := a.table.Services[j.service]; s.Engine != nil && route.Kind == hingeroutes.Stream && asked.Prompt > 0 {
 		p.stream(inner, j, s.Engine)
 		return
 	}
@@ -285,6 +303,9 @@
 
 // sent makes the message for one backend server.
 func (j *job) sent(d Dialect, s Sending) hingewire.Sent {
+	if j.customer != nil {
+		s.Customer = j.customer.Name
+	}
 	return hingewire.Sent{
 		Method: j.Method,
 		Target: j.Target,
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -39,6 +40,7 @@
 		Longest: 100,
 		Hint:    50,
 		After:   h.Get("After"),
+		Key:     hingecustomers.Key(h.Get("Key")),
 	}
 }
 
@@ -46,6 +48,11 @@
 	out := h.Clone()
 	out.Set("Server", string(s.Server))
 	out.Set("Left", fmt.Sprint(s.Left.Milliseconds()))
+	out.Del("Key")
+	out.Del("Customer")
+	if s.Customer != "" {
+		out.Set("Customer", string(s.Customer))
+	}
 	out.Del("After")
 	if s.After != "" {
 		out.Set("After", s.After)
@@ -222,12 +229,17 @@
 	standins []*standin
 	// gone are servers that are known to take no more work.
 	gone map[hingeids.ServerID]bool
+	// newest is asked whether the table is the newest.
+	newest func() bool
 }
 
 func (w *world) set(t *hingeroutes.Table) { w.table.Store(t) }
 
 func (w *world) Table() *hingeroutes.Table { return w.table.Load() }
 
+// Newest reports what newest gives, true if there is none.
+func (w *world) Newest(context.Context) bool { return w.newest == nil || w.newest() }
+
 func (w *world) Changed() <-chan struct{} { return w.table.Changed() }
 
 func (w *world) Entries() int { return 1 }
@@ -333,6 +345,11 @@
 	// asked counts the requests, for their ids; left is how long callers wait.
 	asked int
 	left  time.Duration
+	// key is the callers' API key, if any; keep has them keep their connection.
+	key  hingecustomers.Key
+	keep bool
+	// kept is the client of callers who do.
+	kept *http.Client
 }
 
 func newDoor(t *testing.T, standins ...*standin) *door {
@@ -442,10 +459,20 @@
 	if strings.HasPrefix(target, "/dossier") || strings.HasPrefix(target, "/health") {
 		q.Header.Set("Prompt", "1000")
 	}
-	c := &http.Client{
-		Transport: &http.Transport{
-			DisableKeepAlives: true,
-		},
+	if d.key != "" {
+		q.Header.Set("Key", string(d.key))
+	}
+	c := d.kept
+	if c == nil {
+		c = &http.Client{
+			Transport: &http.Transport{
+				DisableKeepAlives: !d.keep,
+			},
+		}
+	}
+	if d.keep {
+		d.kept = c
+		d.t.Cleanup(c.CloseIdleConnections)
 	}
 	a, err := c.Do(q)
 	if err != nil {
--- a/internal/serve/hingefront/world.go
+++ b/internal/serve/hingefront/world.go
@@ -1,6 +1,7 @@
 package hingefront
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -23,6 +24,25 @@
 	return f.world.Load().Table()
 }
 
+// Newest reports whether the routes in force are the newest that were accepted before the call.
+func (f *Front) Newest(ctx context.Context) bool {
+	version, known := f.follower.Newest(ctx)
+	if !known {
+		return false
+	}
+	for {
+		changed := f.Changed()
+		if t := f.Table(); t != nil && t.Version >= uint64(version) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Changed closes at the next change of what is known of the fleet.
 func (f *Front) Changed() <-chan struct{} {
 	return f.world.Changed()
