--- a/internal/capacity/hingeplacer/alone.go
+++ b/internal/capacity/hingeplacer/alone.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
@@ -88,6 +89,21 @@
 	return s.fleets.Address(id)
 }
 
+// Quota gives a customer's quota. What of it this host may give out alone is decided before it places (hingequota.Lone).
+func (s ownShare) Quota(c hingeids.CallerID) hingecustomers.Quota {
+	return s.fleets.Quota(c)
+}
+
+// Entries is how many entry hosts there are.
+func (s ownShare) Entries() int {
+	return s.fleets.Entries()
+}
+
+// Leads is false: the host places for itself.
+func (ownShare) Leads() bool {
+	return false
+}
+
 // leastConnections lets every host have a request at a replica and another behind it, however many
 // hosts there are.
 const leastConnections = 2
--- a/internal/capacity/hingeplacer/caller.go
+++ b/internal/capacity/hingeplacer/caller.go
@@ -8,18 +8,23 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 )
 
 // PlaceCall asks the placers in turn for a replica, and the own host if none answers (rule 3). The context ends
 // when the caller leaves.
 func (o *Owner) PlaceCall(ctx context.Context, c Call) CallPlacement {
 	began := o.clock()
+	c.Charge.Doubtful = o.doubts(c.Charge)
 	var placed CallPlacement
 	if o.inTurn(ctx, o.calls, func(h hingeids.HostID) (bool, error) {
 		var err error
 		placed, err = o.askCall(ctx, h, c.after(o.clock().Sub(began)))
 		return placed.NotHere, err
 	}) {
+		if placed.Server != "" {
+			o.counted(c.Charge)
+		}
 		return placed
 	}
 	if ctx.Err() != nil {
@@ -27,8 +32,20 @@
 			Refused: true,
 		}
 	}
+	if v := o.admitAlone(c.Charge); !v.Admitted {
+		return CallPlacement{
+			Refused:    true,
+			RetryAfter: v.RetryAfter,
+			Cause:      causeOf(v),
+		}
+	}
+	charge := c.Charge
+	c.Charge = hingequota.Charge{}
 	placed = o.alone.PlaceCall(ctx, c.after(o.clock().Sub(began)))
 	placed.Alone = true
+	if placed.Server == "" {
+		o.discount(charge)
+	}
 	return placed
 }
 
--- a/internal/capacity/hingeplacer/calls.go
+++ b/internal/capacity/hingeplacer/calls.go
@@ -21,7 +21,7 @@
 			return
 		}
 		p.postOrLose(func(now time.Time) {
-			p.offerCall(now, c, func(a CallPlacement) {
+			p.offerCall(now, from, c, func(a CallPlacement) {
 				link.Reply(from, methodPlaced, message(callPlaced{
 					ID:        c.ID,
 					Placement: a,
@@ -71,7 +71,7 @@
 func (p *Placer) PlaceCall(ctx context.Context, c Call) CallPlacement {
 	answer := make(chan CallPlacement, 1)
 	if !p.post(ctx, func(now time.Time) {
-		p.offerCall(now, c, func(a CallPlacement) {
+		p.offerCall(now, "", c, func(a CallPlacement) {
 			answer <- a
 		})
 	}) {
@@ -99,18 +99,19 @@
 			ID:      c.ID,
 			Outcome: hingebalance.Unknown,
 		},
+		Returned: c.Charge,
 	}
 }
 
 // offerCall takes a request, or one that is asked again because its answer is late: it keeps its turn, or its replica.
-func (p *Placer) offerCall(now time.Time, c Call, answer func(CallPlacement)) {
+func (p *Placer) offerCall(now time.Time, owner hingeids.HostID, c Call, answer func(CallPlacement)) {
 	if !p.leads() {
 		answer(CallPlacement{
 			NotHere: true,
 		})
 		return
 	}
-	if p.asking[c.ID] != nil {
+	if _, waits := p.asking[c.ID]; waits {
 		answer(CallPlacement{
 			Waits: true,
 		})
@@ -124,8 +125,20 @@
 		})
 		return
 	}
+	if v := p.admit(now, owner, c.Charge, c.Left); !v.Admitted {
+		answer(CallPlacement{
+			Refused:    true,
+			RetryAfter: v.RetryAfter,
+			Cause:      causeOf(v),
+		})
+		return
+	}
 	p.calls.came = true
-	p.asking[c.ID] = answer
+	p.asking[c.ID] = asker[CallPlacement]{
+		answer: answer,
+		owner:  owner,
+		charge: c.Charge,
+	}
 	q.Offer(now, c.wanted(now))
 }
 
@@ -134,11 +147,13 @@
 	p.postOrLose(func(now time.Time) {
 		p.calls.came = true
 		q := p.queue(e.Service)
-		if p.asking[e.End.ID] != nil {
+		if a, waits := p.asking[e.End.ID]; waits {
 			delete(p.asking, e.End.ID)
+			p.book.Settle(now, a.owner, a.charge, false)
 			q.Cancel(e.End.ID)
 			return
 		}
+		p.book.Return(e.Returned)
 		q.End(now, e.End)
 	})
 }
@@ -159,11 +174,11 @@
 	for s, q := range p.queues {
 		q.SetReplicas(replicas[s])
 		if len(replicas[s]) == 0 {
-			p.handBackCalls(q)
+			p.handBackCalls(now, q)
 			continue
 		}
 		for _, d := range q.Step(now) {
-			p.answerCall(d.ID, CallPlacement{
+			p.answerCall(now, d.ID, CallPlacement{
 				Server:     d.Server,
 				Address:    p.address(d.Server),
 				Refused:    d.Refused,
@@ -177,25 +192,28 @@
 
 // handBackCalls gives what waits in a queue back to its owners. A control host that has just
 // started has heard of no replica yet; its owners have.
-func (p *Placer) handBackCalls(q *hingequeue.Queue) {
+func (p *Placer) handBackCalls(now time.Time, q *hingequeue.Queue) {
 	for _, id := range q.Withdraw() {
-		p.answerCall(id, CallPlacement{
+		p.answerCall(now, id, CallPlacement{
 			NotHere: true,
 		})
 	}
 }
 
-func (p *Placer) answerCall(id hingequeue.CallID, a CallPlacement) {
-	if answer := p.asking[id]; answer != nil {
-		delete(p.asking, id)
-		answer(a)
+func (p *Placer) answerCall(now time.Time, id hingequeue.CallID, a CallPlacement) {
+	x, waits := p.asking[id]
+	if !waits {
+		return
 	}
+	delete(p.asking, id)
+	p.book.Settle(now, x.owner, x.charge, a.Server != "")
+	x.answer(a)
 }
 
 // stopCalls hands all requests back that wait here.
-func (p *Placer) stopCalls() {
+func (p *Placer) stopCalls(now time.Time) {
 	for _, q := range p.queues {
-		p.handBackCalls(q)
+		p.handBackCalls(now, q)
 	}
 	clear(p.queues)
 }
--- a/internal/capacity/hingeplacer/calls_test.go
+++ b/internal/capacity/hingeplacer/calls_test.go
@@ -12,6 +12,7 @@
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 )
 
 func quayQuery(id int) Call {
@@ -167,7 +168,7 @@
 		servers := &counted{}
 		p := New(servers, func() bool {
 			return true
-		}, time.Now)
+		}, time.Now, hingequota.StandardTerms)
 		go func() {
 			_ = p.Run(ctx)
 		}()
--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -6,6 +6,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 )
 
@@ -41,6 +42,10 @@
 	Zone hingeids.Zone `cbor:"12,keyasint,omitempty"`
 	// Gap is the longest pause between events that counts as on time; zero if any does.
 	Gap time.Duration `cbor:"13,keyasint,omitempty"`
+	// Charge is what the stream counts for its customer's quota, nothing if it has been counted.
+	Charge hingequota.Charge `cbor:"14,keyasint,omitzero"`
+	// Priority is the customer's or the route's; 0 goes first.
+	Priority int `cbor:"15,keyasint,omitempty"`
 }
 
 func (w Want) wanted(now time.Time, owner hingeids.HostID) hingefleet.Want {
@@ -58,6 +63,7 @@
 		Moved:    w.Moved,
 		Cached:   w.Cached,
 		Avoid:    w.Avoid,
+		Priority: w.Priority,
 	}
 }
 
@@ -78,8 +84,27 @@
 	Alone  bool          `cbor:"6,keyasint,omitempty"`
 	Waited time.Duration `cbor:"7,keyasint,omitempty"`
 	Peak   int           `cbor:"8,keyasint,omitempty"`
-	// Short is what there was too little of, where it is refused.
+	// Short is what there was too little of, where it is refused for want of room.
 	Short hingefleet.Shortage `cbor:"10,keyasint,omitempty"`
+	Cause Cause               `cbor:"13,keyasint,omitempty"`
+}
+
+// Cause is why a request is refused.
+type Cause uint8
+
+// The causes: no room; a customer that has used its quota; a quota of which whoever decides doesn't know enough.
+const (
+	NoRoom Cause = iota
+	OverQuota
+	QuotaUnknown
+)
+
+// causeOf is the cause of a refusal for a quota.
+func causeOf(v hingequota.Verdict) Cause {
+	if v.Over {
+		return OverQuota
+	}
+	return QuotaUnknown
 }
 
 // note is how an engine of a service did.
@@ -93,6 +118,22 @@
 	Sequence uint64                                     `cbor:"1,keyasint"`
 	Streams  map[hingeids.Service][]hingefleet.Progress `cbor:"2,keyasint,omitempty"`
 	Notes    []note                                     `cbor:"3,keyasint,omitempty"`
+	// Uses are what the owner's requests have used of quotas within the window, of which it knows for Knows; All says that they are told.
+	Uses  []hingequota.Use `cbor:"4,keyasint,omitempty"`
+	All   bool             `cbor:"5,keyasint,omitempty"`
+	Knows time.Duration    `cbor:"6,keyasint,omitempty"`
+	// Returned are requests that were counted and have not run.
+	Returned []hingequota.Charge `cbor:"7,keyasint,omitempty"`
+}
+
+// reported is the answer to a report.
+type reported struct {
+	// Wants asks for all uses with the next report.
+	Wants bool `cbor:"1,keyasint,omitempty"`
+	// Tight are the customers that have little of their quotas left.
+	Tight []hingequota.Tight `cbor:"2,keyasint,omitempty"`
+	// All says that nobody else is tight.
+	All bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Call is a request of a plain service that asks for a replica, as it travels.
@@ -106,6 +147,10 @@
 	// Patience is how long the caller said that it would wait, zero if it said nothing.
 	Patience time.Duration       `cbor:"7,keyasint,omitempty"`
 	Avoid    []hingeids.ServerID `cbor:"6,keyasint,omitempty"`
+	// Charge is what the request counts for its customer's quota, nothing if it has been counted.
+	Charge hingequota.Charge `cbor:"8,keyasint,omitzero"`
+	// Priority is the customer's or the route's; 0 goes first.
+	Priority int `cbor:"9,keyasint,omitempty"`
 }
 
 // after gives the call as it is when some of its time has passed.
@@ -123,6 +168,7 @@
 		Deadline: now.Add(c.Left),
 		Patience: c.Patience,
 		Avoid:    c.Avoid,
+		Priority: c.Priority,
 	}
 }
 
@@ -137,7 +183,8 @@
 	// Waits says that the request has its turn later: the answer to a question that is asked again.
 	Waits bool `cbor:"6,keyasint,omitempty"`
 	// Alone says that the own host chose without the others' requests in sight.
-	Alone bool `cbor:"5,keyasint,omitempty"`
+	Alone bool  `cbor:"5,keyasint,omitempty"`
+	Cause Cause `cbor:"8,keyasint,omitempty"`
 }
 
 // callPlaced is a placement as it travels.
@@ -150,4 +197,6 @@
 type callEnd struct {
 	Service hingeids.Service `cbor:"1,keyasint"`
 	End     hingequeue.End   `cbor:"2,keyasint"`
+	// Returned is what the request was counted for, if it was never sent to the replica that it was given.
+	Returned hingequota.Charge `cbor:"3,keyasint,omitzero"`
 }
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
@@ -34,8 +36,6 @@
 	Servers
 	// Placers names the hosts to ask, the best first.
 	Placers() []hingeids.HostID
-	// Entries is how many entry hosts there are.
-	Entries() int
 }
 
 // Owner is an entry host's side: it asks for placements and reports its streams.
@@ -57,6 +57,9 @@
 	notes    []note
 	// expected are the questions for replicas whose answers haven't come.
 	expected map[hingequeue.CallID]chan<- CallPlacement
+	quotas   ownQuotas
+	// answered is the placer that answered last.
+	answered hingeids.HostID
 }
 
 // Stream is one stream that this host owns.
@@ -69,6 +72,7 @@
 // NewOwner makes an entry host's side.
 func NewOwner(
 	self hingeids.HostID, link hingelink.Link, f Fleets, clock func() time.Time, r *hingeevents.Recorder,
+	t hingequota.Terms,
 ) *Owner {
 	o := &Owner{
 		recorder: r,
@@ -84,6 +88,7 @@
 		// A report with an older number is passed over, so a process goes on above its last
 		// life. The boot clock wouldn't do: it begins anew when the machine does.
 		sequence: uint64(time.Now().UnixNano()),
+		quotas:   newOwnQuotas(clock(), t),
 	}
 	link.HandleDatagram(methodPlaced, o.placed)
 	o.alone = New(ownShare{
@@ -91,7 +96,7 @@
 		fleets: f,
 	}, func() bool {
 		return true
-	}, clock)
+	}, clock, t)
 	return o
 }
 
@@ -106,6 +111,7 @@
 	waited := w.Waited
 	for ctx.Err() == nil {
 		w.Waited = waited + o.clock().Sub(began)
+		w.Charge.Doubtful = o.doubts(w.Charge)
 		if a := o.placeOnce(ctx, w); !a.Later {
 			return a
 		}
@@ -123,6 +129,9 @@
 		placed, err = o.ask(ctx, h, w)
 		return placed.NotHere, err
 	}) {
+		if placed.Decode != "" {
+			o.counted(w.Charge)
+		}
 		return placed
 	}
 	if ctx.Err() != nil {
@@ -130,8 +139,20 @@
 			Refused: true,
 		}
 	}
+	if v := o.admitAlone(w.Charge); !v.Admitted {
+		return Placement{
+			Refused:    true,
+			RetryAfter: v.RetryAfter,
+			Cause:      causeOf(v),
+		}
+	}
+	charge := w.Charge
+	w.Charge = hingequota.Charge{}
 	placed = o.alone.Place(ctx, o.self, w)
 	placed.Alone = true
+	if placed.Decode == "" {
+		o.discount(charge)
+	}
 	return placed
 }
 
@@ -153,6 +174,7 @@
 			continue
 		}
 		if !notHere {
+			o.heard(h)
 			return true
 		}
 	}
@@ -270,7 +292,7 @@
 		case <-o.dirty:
 			hingeclock.Pause(ctx, gatherReports)
 		case <-ticker.C:
-			placer := first(o.fleets.Placers())
+			placer := o.reportTo()
 			if o.idle() && placer == to {
 				continue
 			}
@@ -283,7 +305,19 @@
 func (o *Owner) idle() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.streams) == 0
+	return len(o.streams) == 0 && o.quotas.idle(o.clock())
+}
+
+// reportTo gives the host to report to: the one that answered last, since whoever places has to know of the streams, and before any has
+// answered the one that is asked first.
+func (o *Owner) reportTo() hingeids.HostID {
+	list := o.fleets.Placers()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if slices.Contains(list, o.answered) {
+		return o.answered
+	}
+	return first(list)
 }
 
 func (o *Owner) report(ctx context.Context) {
@@ -291,14 +325,19 @@
 	o.alone.post(ctx, func(now time.Time) {
 		o.alone.take(now, o.self, r)
 	})
-	h := first(o.fleets.Placers())
+	h := o.reportTo()
 	if h == "" {
 		return
 	}
 	one, stop := context.WithTimeout(ctx, reportTime)
 	defer stop()
+	b, err := o.reach.call(one, h, methodReport, message(r))
+	var a reported
+	if err == nil {
+		err = cbor.Unmarshal(b, &a)
+	}
 	// A report that is lost is made good by the next one, within half a second.
-	_, _ = o.reach.call(one, h, methodReport, message(r))
+	o.reported(r, a, err)
 }
 
 // first gives the host that is asked first, if any.
@@ -319,6 +358,7 @@
 		Notes:    o.notes,
 	}
 	o.notes = nil
+	o.quotas.fill(o.clock(), &r)
 	for _, s := range o.streams {
 		r.Streams[s.service] = append(r.Streams[s.service], s.progress)
 	}
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -17,6 +17,8 @@
 //  4. One goroutine, the loop, owns the fleets and the queues.
 //  5. It gives requests of plain services their replicas too, from one queue for each service (hingequeue): what one
 //     host learns of a replica, and what it has sent there, is known to all with the next request.
+//  6. It counts what customers use of their quotas (hingequota), with the question that is asked anyway. Each owner keeps
+//     what its own requests have used, and tells a placer that doesn't know it.
 package hingeplacer
 
 import (
@@ -26,11 +28,13 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
@@ -57,6 +61,12 @@
 	Replicas() map[hingeids.Service][]hingebalance.Replica
 	// Address gives the address of a server, if it is known.
 	Address(id hingeids.ServerID) (string, bool)
+	// Quota gives a customer's quota.
+	Quota(c hingeids.CallerID) hingecustomers.Quota
+	// Entries is how many entry hosts there are.
+	Entries() int
+	// Leads reports whether this host was elected to place for all, rather than to place while nobody leads.
+	Leads() bool
 }
 
 // Placer places streams while Leads says so.
@@ -69,7 +79,7 @@
 	done    chan struct{}
 
 	fleets   map[hingeids.Service]*hingefleet.Fleet
-	waiting  map[hingefleet.StreamID]chan<- Placement
+	waiting  map[hingefleet.StreamID]asker[Placement]
 	sequence map[hingeids.HostID]uint64
 	// ledSince is when this host began to place, zero while it doesn't.
 	ledSince time.Time
@@ -78,11 +88,22 @@
 	calls   look
 
 	queues map[hingeids.Service]*hingequeue.Queue
-	asking map[hingequeue.CallID]func(CallPlacement)
+	asking map[hingequeue.CallID]asker[CallPlacement]
+	// book counts what customers use of their quotas; it is swept at sweepAt.
+	book    *hingequota.Book
+	sweepAt time.Time
+}
+
+// asker is who waits for a placement.
+type asker[T any] struct {
+	answer func(T)
+	owner  hingeids.HostID
+	// charge is what the request counts for its customer's quota while it waits, and for good once it is placed.
+	charge hingequota.Charge
 }
 
 // New makes a placer.
-func New(s Servers, leads func() bool, clock func() time.Time) *Placer {
+func New(s Servers, leads func() bool, clock func() time.Time, t hingequota.Terms) *Placer {
 	return &Placer{
 		servers:  s,
 		leads:    leads,
@@ -90,10 +111,11 @@
 		inbox:    make(chan func(now time.Time), inboxSize),
 		done:     make(chan struct{}),
 		fleets:   make(map[hingeids.Service]*hingefleet.Fleet),
-		waiting:  make(map[hingefleet.StreamID]chan<- Placement),
+		waiting:  make(map[hingefleet.StreamID]asker[Placement]),
 		sequence: make(map[hingeids.HostID]uint64),
 		queues:   make(map[hingeids.Service]*hingequeue.Queue),
-		asking:   make(map[hingequeue.CallID]func(CallPlacement)),
+		asking:   make(map[hingequeue.CallID]asker[CallPlacement]),
+		book:     hingequota.NewBook(t),
 	}
 }
 
@@ -116,10 +138,21 @@
 		if err := cbor.Unmarshal(body, &r); err != nil {
 			return nil, eris.Wrap(err, "report of streams")
 		}
-		p.post(ctx, func(now time.Time) {
-			p.take(now, from, r)
-		})
-		return nil, nil
+		answer := make(chan reported, 1)
+		if !p.post(ctx, func(now time.Time) {
+			answer <- p.take(now, from, r)
+		}) {
+			return nil, eris.New("the placer has ended")
+		}
+		select {
+		case a := <-answer:
+			b, err := cbor.Marshal(a)
+			return b, eris.Wrap(err, "answer to a report")
+		case <-p.done:
+			return nil, eris.New("the placer has ended")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	})
 }
 
@@ -160,9 +193,10 @@
 // step looks at every engine, and would else have it done a thousand times a second while streams wait.
 func (p *Placer) step(now time.Time) time.Duration {
 	if !p.leads() {
-		p.stepDown()
+		p.stepDown(now)
 		return idleEvery
 	}
+	p.stepQuotas(now)
 	if p.ledSince.IsZero() {
 		p.ledSince = now
 		p.streams = look{}
@@ -224,7 +258,9 @@
 func (p *Placer) Place(ctx context.Context, owner hingeids.HostID, w Want) Placement {
 	answer := make(chan Placement, 1)
 	if !p.post(ctx, func(now time.Time) {
-		p.offer(now, owner, w, answer)
+		p.offer(now, owner, w, func(a Placement) {
+			answer <- a
+		})
 	}) {
 		return Placement{
 			NotHere: true,
@@ -249,12 +285,12 @@
 func (p *Placer) withdraw(w Want, answer <-chan Placement) Placement {
 	taken := make(chan Placement, 1)
 	// The loop ends with its own context, which is never that of a want.
-	if !p.post(context.Background(), func(time.Time) {
+	if !p.post(context.Background(), func(now time.Time) {
 		select {
 		case a := <-answer:
 			taken <- a
 		default:
-			p.cancel(w)
+			p.cancel(now, w)
 			taken <- Placement{
 				Later: true,
 			}
@@ -274,20 +310,35 @@
 	}
 }
 
-func (p *Placer) offer(now time.Time, owner hingeids.HostID, w Want, answer chan<- Placement) {
+func (p *Placer) offer(now time.Time, owner hingeids.HostID, w Want, answer func(Placement)) {
 	if !p.leads() {
-		answer <- Placement{
+		answer(Placement{
 			NotHere: true,
-		}
+		})
+		return
+	}
+	if v := p.admit(now, owner, w.Charge, w.Left); !v.Admitted {
+		answer(Placement{
+			Refused:    true,
+			RetryAfter: v.RetryAfter,
+			Cause:      causeOf(v),
+		})
 		return
 	}
 	p.streams.came = true
-	p.waiting[w.ID] = answer
+	p.waiting[w.ID] = asker[Placement]{
+		answer: answer,
+		owner:  owner,
+		charge: w.Charge,
+	}
 	p.fleet(w.Service).Offer(now, w.wanted(now, owner))
 }
 
-func (p *Placer) cancel(w Want) {
-	delete(p.waiting, w.ID)
+func (p *Placer) cancel(now time.Time, w Want) {
+	if x, waits := p.waiting[w.ID]; waits {
+		delete(p.waiting, w.ID)
+		p.book.Settle(now, x.owner, x.charge, false)
+	}
 	p.fleet(w.Service).Cancel(w.ID)
 }
 
@@ -301,9 +352,10 @@
 }
 
 // take brings an owner's report in. An older one that was overtaken is passed over.
-func (p *Placer) take(now time.Time, owner hingeids.HostID, r report) {
+func (p *Placer) take(now time.Time, owner hingeids.HostID, r report) reported {
+	answer := p.takeUses(now, owner, r)
 	if r.Sequence < p.sequence[owner] {
-		return
+		return answer
 	}
 	p.sequence[owner] = r.Sequence
 	p.streams.came = true
@@ -317,6 +369,7 @@
 	for s, f := range p.fleets {
 		f.Report(now, owner, r.Streams[s])
 	}
+	return answer
 }
 
 // stepStreams decides on the streams that wait, and gives how many still do.
@@ -332,11 +385,11 @@
 		demands[s] = f.Demand(now)
 		f.SetEngines(engines[s])
 		if len(engines[s]) == 0 {
-			p.handBack(f)
+			p.handBack(now, f)
 			continue
 		}
 		for _, d := range f.Step(now) {
-			p.answer(d)
+			p.decided(now, d)
 		}
 		left += f.Waiting()
 	}
@@ -345,38 +398,31 @@
 
 // handBack gives what waits in a fleet back to its owners. A control host that has just
 // started has heard of no engine yet; its owners have.
-func (p *Placer) handBack(f *hingefleet.Fleet) {
+func (p *Placer) handBack(now time.Time, f *hingefleet.Fleet) {
 	for _, id := range f.Withdraw() {
-		if answer := p.waiting[id]; answer != nil {
-			delete(p.waiting, id)
-			answer <- Placement{
-				NotHere: true,
-			}
-		}
+		p.answer(now, id, Placement{
+			NotHere: true,
+		})
 	}
 }
 
 // stepDown hands all that waits back to its owners.
-func (p *Placer) stepDown() {
+func (p *Placer) stepDown(now time.Time) {
 	p.demands.Store(&map[hingeids.Service]hingefleet.Demand{})
 	p.ledSince = time.Time{}
-	for id, answer := range p.waiting {
-		answer <- Placement{
+	for id := range p.waiting {
+		p.answer(now, id, Placement{
 			NotHere: true,
-		}
-		delete(p.waiting, id)
+		})
 	}
 	clear(p.fleets)
-	p.stopCalls()
+	p.stopCalls(now)
+	p.book.End()
 }
 
-func (p *Placer) answer(d hingefleet.Decision) {
-	answer := p.waiting[d.ID]
-	if answer == nil {
-		return
-	}
-	delete(p.waiting, d.ID)
-	answer <- Placement{
+// decided tells an owner what was decided on its stream.
+func (p *Placer) decided(now time.Time, d hingefleet.Decision) {
+	p.answer(now, d.ID, Placement{
 		Prefill:    d.Grant.Prefill,
 		PrefillAt:  p.address(d.Grant.Prefill),
 		Decode:     d.Grant.Decode,
@@ -386,7 +432,17 @@
 		Waited:     d.Waited,
 		Peak:       d.Peak,
 		Short:      d.Short,
+	})
+}
+
+func (p *Placer) answer(now time.Time, id hingefleet.StreamID, a Placement) {
+	x, waits := p.waiting[id]
+	if !waits {
+		return
 	}
+	delete(p.waiting, id)
+	p.book.Settle(now, x.owner, x.charge, a.Decode != "")
+	x.answer(a)
 }
 
 // address gives a server's address, empty if it isn't known.
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -10,9 +10,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
 )
 
@@ -62,6 +64,22 @@
 	return string(id) + ":80", true
 }
 
+// Quota bounds the customer named busy, by 1,000 tokens a second and a burst of 8,000.
+func (engines) Quota(c hingeids.CallerID) hingecustomers.Quota {
+	if c != "busy" {
+		return hingecustomers.Quota{}
+	}
+	return hingecustomers.Quota{
+		Unit:  hingecustomers.Tokens,
+		Rate:  1000,
+		Burst: 8000,
+	}
+}
+
+func (engines) Entries() int { return 2 }
+
+func (engines) Leads() bool { return true }
+
 // fleets is what an entry host of the test knows.
 type fleets struct {
 	engines
@@ -93,7 +111,7 @@
 			leads := &atomic.Bool{}
 			leads.Store(h == "control-1")
 			b.leads[h] = leads
-			p := New(engines{}, leads.Load, time.Now)
+			p := New(engines{}, leads.Load, time.Now, hingequota.StandardTerms)
 			p.Handle(b.network.Link(h), nil)
 			done = append(done, p.Done())
 			go func() {
@@ -106,7 +124,7 @@
 				entries: 2,
 			}
 			known.placers.Store(&[]hingeids.HostID{"control-1", "control-2"})
-			o := NewOwner(h, b.network.Link(h), known, time.Now, nil)
+			o := NewOwner(h, b.network.Link(h), known, time.Now, nil, hingequota.StandardTerms)
 			b.owners = append(b.owners, o)
 			b.known = append(b.known, known)
 			done = append(done, o.Done())
@@ -313,7 +331,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	p := New(slowPrefill{}, func() bool {
 		return true
-	}, nil)
+	}, nil, hingequota.StandardTerms)
 	p.step(now)
 	now = now.Add(warmUp)
 	counts := make(map[hingeids.ServerID]int)
@@ -321,7 +339,9 @@
 	for i := range 20 {
 		w := want(fmt.Sprint(i))
 		answer := make(chan Placement, 1)
-		p.offer(now, "entry-1", w, answer)
+		p.offer(now, "entry-1", w, func(a Placement) {
+			answer <- a
+		})
 		p.step(now)
 		a := <-answer
 		took := 90 * time.Millisecond
--- /dev/null
+++ b/internal/capacity/hingeplacer/quotas.go
@@ -0,0 +1,55 @@
+package hingeplacer
+
+import (
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
+)
+
+// admit decides whether a request fits into its customer's quota (rule 6).
+func (p *Placer) admit(now time.Time, owner hingeids.HostID, c hingequota.Charge, left time.Duration) hingequota.Verdict {
+	p.stepQuotas(now)
+	if owner != "" {
+		p.book.Hear(now, owner)
+	}
+	if c.Free() {
+		return hingequota.Verdict{
+			Admitted: true,
+		}
+	}
+	return p.book.Admit(now, c, p.servers.Quota(c.Customer), p.servers.Entries(), left)
+}
+
+// stepQuotas begins to count anew when this host begins to place, or to lead, and forgets what is over.
+func (p *Placer) stepQuotas(now time.Time) {
+	if leads := p.servers.Leads(); !p.book.Begun(leads) {
+		p.book.Begin(now, leads)
+	}
+	if !now.Before(p.sweepAt) {
+		p.sweepAt = now.Add(idleEvery)
+		p.book.Step(now)
+	}
+}
+
+// takeUses takes what an owner says of quotas, and tells it what it has to know.
+func (p *Placer) takeUses(now time.Time, owner hingeids.HostID, r report) reported {
+	if !p.leads() {
+		return reported{}
+	}
+	p.stepQuotas(now)
+	wants := p.book.Hear(now, owner)
+	if r.All {
+		p.book.Tell(now, owner, r.Uses, r.Knows)
+		wants = false
+	}
+	for _, c := range r.Returned {
+		p.book.Return(c)
+	}
+	tight, all := p.book.Tight(now, p.servers.Entries())
+	return reported{
+		Wants: wants,
+		Tight: tight,
+		All:   all,
+	}
+}
--- a/internal/config/hingeroutes/routes.go
+++ b/internal/config/hingeroutes/routes.go
@@ -135,6 +135,14 @@
 	return there
 }
 
+// Quota gives a customer's quota, without a bound where none is known.
+func (t *Table) Quota(c hingeids.CallerID) hingecustomers.Quota {
+	if t == nil {
+		return hingecustomers.Quota{}
+	}
+	return t.Customers.Quota(c)
+}
+
 // Match gives the route of a request, or nil (rule 2).
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.byHost[host] {
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -16,7 +16,7 @@
 //     taken: the room that is left is what absorbs hints that were too low. An engine of the
 //     availability zone that the stream comes from is preferred while it isn't much fuller: when
 //     a zone is cut off, streams that cross its border fall silent, others go on.
-//  3. What can still be on time goes first, in the order of arrival. What is late
+//  3. What can still be on time goes first, in the order of priority and then of arrival. What is late
 //     goes only where more room is left, since a late answer is worth a fraction of a timely
 //     one and must not make the next one late.
 //  4. A stream that moves from a broken engine goes before all others: its caller
@@ -98,6 +98,8 @@
 	Cached bool
 	// Avoid are engines that have failed this request.
 	Avoid []hingeids.ServerID
+	// Priority ranks wants that can be on time, or that can't, among each other; 0 goes first.
+	Priority int
 }
 
 // Grant names the engines of a stream.
--- a/internal/decide/hingefleet/grant_test.go
+++ b/internal/decide/hingefleet/grant_test.go
@@ -33,6 +33,28 @@
 	}
 }
 
+// Dossiers of two customers wait for the one engine, and one of them goes first by its rank. It came a moment later, and would
+// otherwise be behind the other's.
+func TestHigherPriorityGoesFirst(t *testing.T) {
+	f := taught()
+	now := simStart
+	f.SetEngines(engines()[:2])
+	first := wantOf("first", now)
+	first.Priority = 1
+	urgent := wantOf("urgent", now.Add(time.Millisecond))
+	f.Offer(now, first)
+	f.Offer(now, urgent)
+	var got []StreamID
+	for _, d := range f.Step(now.Add(time.Millisecond)) {
+		if !d.Refused {
+			got = append(got, d.ID)
+		}
+	}
+	if diff := cmp.Diff([]StreamID{"urgent"}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // All hosts were without power, and of the engines only the first has announced itself again. It is full
 // at once. Callers that were sent away for some seconds then would come back late, to engines that
 // had been there a moment after.
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -90,7 +90,7 @@
 		}
 	}
 	slices.SortStableFunc(f.queue, func(a, b *Want) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), a.Arrived.Compare(b.Arrived))
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Priority, b.Priority), a.Arrived.Compare(b.Arrived))
 	})
 }
 
--- a/internal/decide/hingequeue/queue.go
+++ b/internal/decide/hingequeue/queue.go
@@ -8,7 +8,7 @@
 //
 //  1. A request is given a replica when that has room for it (hingebalance rule 6). Until then it waits here, and
 //     not in a replica's queue: whichever replica is free first takes the one that is due first.
-//  2. Requests that can still be answered in time go first, in the order in which they are due. A late answer is
+//  2. Requests that can still be answered in time go first, in the order of their priorities and then in that in which they are due. A late answer is
 //     worth a part of one in time, so the others have what is left. Callers who were refused and come back are told by the
 //     time that they have left (patience.go): what they wait for has been late since their first try.
 //  3. A request that finds more work before it than can be done in its time is refused at once, and told when the
@@ -40,6 +40,8 @@
 	Patience time.Duration
 	// Avoid are replicas that have failed it.
 	Avoid []hingeids.ServerID
+	// Priority ranks requests that can be answered in time; 0 goes first.
+	Priority int
 }
 
 // Decision is a replica, or a refusal.
@@ -95,7 +97,7 @@
 type Queue struct {
 	balance  *hingebalance.Balance
 	replicas []hingebalance.Replica
-	// fresh are those that can still be in time, by when they are due; late the others, by when they came.
+	// fresh are those that can still be in time, by priority and when they are due; late the others, by when they came.
 	fresh []Want
 	late  []Want
 	calls map[CallID]call
@@ -138,8 +140,8 @@
 		w.Due = w.Deadline
 	}
 	w.Due = w.Due.Add(-q.patiences.used(now, w.Due.Sub(now), w.Patience))
-	at, _ := slices.BinarySearchFunc(q.fresh, w.Due, func(x Want, due time.Time) int {
-		return cmp.Or(x.Due.Compare(due), -1)
+	at, _ := slices.BinarySearchFunc(q.fresh, w, func(x, w Want) int {
+		return cmp.Or(cmp.Compare(x.Priority, w.Priority), x.Due.Compare(w.Due), -1)
 	})
 	q.fresh = slices.Insert(q.fresh, at, w)
 }
@@ -211,12 +213,15 @@
 
 // age moves requests that can't be in time any more behind the others (rule 2).
 func (q *Queue) age(now time.Time, took time.Duration) {
-	n := 0
-	for n < len(q.fresh) && now.Add(took).After(q.fresh[n].Due) {
-		n++
+	kept := q.fresh[:0]
+	for _, w := range q.fresh {
+		if now.Add(took).After(w.Due) {
+			q.late = append(q.late, w)
+			continue
+		}
+		kept = append(kept, w)
 	}
-	q.late = append(q.late, q.fresh[:n]...)
-	q.fresh = slices.Delete(q.fresh, 0, n)
+	q.fresh = kept
 }
 
 // grant gives replicas to requests in their order, and returns those that still wait.
--- a/internal/decide/hingequeue/queue_test.go
+++ b/internal/decide/hingequeue/queue_test.go
@@ -19,7 +19,7 @@
 // Each script tells in comments how its case comes about and what callers notice. Its lines begin with milliseconds:
 //
 //	0 replicas a:2@cancale b:2@roscoff
-//	0 ask 1..4 from cancale due 150 left 1000 [patience 1000] [avoid a,b]
+//	0 ask 1..4 from cancale due 150 left 1000 [patience 1000] [priority 1] [avoid a,b]
 //	30 end 1 at a answered took 28
 //	30 step
 //	> 2 a
@@ -181,6 +181,9 @@
 	if p := o["patience"]; p != "" {
 		w.Patience = milliseconds(p)
 	}
+	if p := o["priority"]; p != "" {
+		w.Priority, _ = strconv.Atoi(p)
+	}
 	if a := o["avoid"]; a != "" {
 		for _, id := range strings.Split(a, ",") {
 			w.Avoid = append(w.Avoid, hingeids.ServerID(id))
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -259,10 +259,22 @@
 	a.Change = s.directory.Change()
 	a.Records = s.directory.Since(q.Change)
 	a.Asking = len(s.entries)
-	a.Entries = CountEntries(append(s.peers.Asking(), a.Asking))
+	a.Entries = s.countEntries()
 	return a
 }
 
+// Entries is how many entry hosts there are, as far as control hosts are asked by them.
+func (s *Source) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.countEntries()
+}
+
+// countEntries is Entries for a caller that holds the lock.
+func (s *Source) countEntries() int {
+	return CountEntries(append(s.peers.Asking(), len(s.entries)))
+}
+
 // named gives the members of the group with their zones, as far as they are known.
 func (s *Source) named(members []hingeids.HostID) []named {
 	out := make([]named, 0, len(members))
--- a/internal/path/hingeproxy/answer.go
+++ b/internal/path/hingeproxy/answer.go
@@ -16,7 +16,7 @@
 func (p *Proxy) refuse(w *hingewire.Writer, id RequestID, err *hingeverdict.Error) {
 	status := statusOf(err)
 	h := p.dialect.Own(id)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		after := max(err.RetryAfter, shortestRetry)
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
@@ -33,6 +33,8 @@
 		return status
 	}
 	switch {
+	case err.Verdict == hingeverdict.NotRun && err.Code == hingeverdict.CodeOverQuota:
+		return http.StatusTooManyRequests
 	case err.Verdict == hingeverdict.NotRun:
 		return http.StatusServiceUnavailable
 	case err.Code == hingeverdict.CodeDeadline:
@@ -57,18 +59,29 @@
 	if j.ran != hingeverdict.NotRun {
 		e.Verdict = j.ran
 	}
+	p.giveBack(j)
+	p.recordGivenUp(j, &e)
+	if j.writer.Begun() {
+		// The connection is closed without the end of the answer.
+		return
+	}
+	p.refuse(j.writer, j.asked.ID, &e)
+}
+
+func (p *Proxy) recordGivenUp(j *job, e *hingeverdict.Error) {
+	p.meter.customer(j.caller(), outcomeOfError(e))
+	if e.Code == hingeverdict.CodeOverQuota {
+		p.overQuota(j, e)
+		return
+	}
 	now := p.settings.Clock()
 	p.settings.Recorder.Record(now, hingeevents.RequestGivenUp, hingeevents.Fields{
 		Asked:  string(j.asked.ID),
+		Caller: j.caller(),
 		Took:   now.Sub(j.Arrived),
 		Count:  int64(j.attempts),
 		Route:  j.route.Name,
 		World:  p.world.Version(),
 		Detail: e.Error(),
 	})
-	if j.writer.Begun() {
-		// The connection is closed without the end of the answer.
-		return
-	}
-	p.refuse(j.writer, j.asked.ID, &e)
 }
--- a/internal/path/hingeproxy/meter.go
+++ b/internal/path/hingeproxy/meter.go
@@ -3,13 +3,49 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+)
+
+// mostNamed is how many customers a host counts by name: the first that it serves. Thousands of names at hundreds of hosts would
+// be more series than anybody keeps; the lines tell of each.
+const mostNamed = 50
+
+// otherCustomers stands for the customers beyond mostNamed.
+const otherCustomers hingeids.CallerID = "others"
+
+// outcome is what a customer's request got, as metrics name it.
+type outcome string
+
+const (
+	outcomeAnswered  outcome = "answered"
+	outcomeRefused   outcome = "refused"
+	outcomeOverQuota outcome = "overQuota"
+	outcomeFailed    outcome = "failed"
+	outcomeGone      outcome = "callerGone"
 )
 
+// outcomeOfError is what a request got that was given up.
+func outcomeOfError(e *hingeverdict.Error) outcome {
+	switch {
+	case e.Verdict != hingeverdict.NotRun:
+		return outcomeFailed
+	case e.Code == hingeverdict.CodeOverQuota:
+		return outcomeOverQuota
+	}
+	return outcomeRefused
+}
+
 // meter counts what callers got.
 type meter struct {
+	mu    sync.Mutex
+	named map[hingeids.CallerID]bool
+
 	set     *metrics.Set
 	plain   *metrics.Histogram
 	streams *metrics.Histogram
@@ -19,6 +55,7 @@
 func newMeter() *meter {
 	s := metrics.NewSet()
 	return &meter{
+		named:   make(map[hingeids.CallerID]bool),
 		set:     s,
 		plain:   s.NewHistogram("swifthinge_plain_answer_seconds"),
 		streams: s.NewHistogram("swifthinge_stream_seconds"),
@@ -26,6 +63,25 @@
 	}
 }
 
+// customer counts a request of a customer, if it is one's.
+func (m *meter) customer(c hingeids.CallerID, o outcome) {
+	if c == "" {
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("swifthinge_customer_requests_total{customer=%q,outcome=%q}", m.label(c), o)).Inc()
+}
+
+// label is the name that a customer is counted by.
+func (m *meter) label(c hingeids.CallerID) hingeids.CallerID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.named[c] && len(m.named) >= mostNamed {
+		return otherCustomers
+	}
+	m.named[c] = true
+	return c
+}
+
 func (m *meter) ownAnswer(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`swifthinge_own_answers_total{status="%d"}`, status)).Inc()
 }
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -50,7 +50,8 @@
 		}
 		if placement.Server == "" {
 			after := max(placement.RetryAfter, shortestRetry)
-			p.end(j, failure, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, after, nil))
+			code := codeOf(placement.Cause, hingeverdict.CodeNoServer)
+			p.end(j, failure, hingeverdict.New(hingeverdict.NotRun, code, after, nil))
 			return
 		}
 		avoid = append(avoid, placement.Server)
@@ -88,11 +89,14 @@
 
 // callerLeft records that the caller is gone.
 func (p *Proxy) callerLeft(j *job) {
+	p.giveBack(j)
+	p.meter.customer(j.caller(), outcomeGone)
 	now := p.settings.Clock()
 	p.settings.Recorder.Record(now, hingeevents.CallerGone, hingeevents.Fields{
-		Asked: string(j.asked.ID),
-		Took:  now.Sub(j.Arrived),
-		Route: j.route.Name,
+		Asked:  string(j.asked.ID),
+		Caller: j.caller(),
+		Took:   now.Sub(j.Arrived),
+		Route:  j.route.Name,
 	})
 }
 
@@ -107,7 +111,7 @@
 	if j.route.Target > 0 {
 		inTime = max(j.Arrived.Add(j.route.Target).Sub(now), 0)
 	}
-	return id, p.owner.PlaceCall(ctx, hingeplacer.Call{
+	placed := p.owner.PlaceCall(ctx, hingeplacer.Call{
 		Service:  j.service,
 		ID:       id,
 		Zone:     p.settings.Zone,
@@ -115,7 +119,11 @@
 		Left:     p.left(j),
 		Patience: j.asked.Left,
 		Avoid:    avoid,
+		Charge:   j.due(),
+		Priority: j.priority(),
 	})
+	j.counted = j.counted || placed.Server != ""
+	return id, placed
 }
 
 // try sends a request to a replica and tells how it went to whoever chose that.
@@ -265,8 +273,10 @@
 func (p *Proxy) deliver(j *job, a *whole) {
 	now := p.settings.Clock()
 	p.meter.answered(a.response.StatusCode, now.Sub(j.Arrived))
+	p.meter.customer(j.caller(), outcomeAnswered)
 	p.settings.Recorder.Record(now, hingeevents.ServiceCalled, hingeevents.Fields{
 		Asked:  string(j.asked.ID),
+		Caller: j.caller(),
 		Server: a.server,
 		Took:   now.Sub(j.Arrived),
 		Count:  int64(a.response.StatusCode),
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -32,6 +32,7 @@
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/decide/hingeretry"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
@@ -153,6 +154,8 @@
 	// drainingSince is when the process began to end, zero before.
 	drainingSince time.Time
 	sequence      uint64
+	// excesses bounds the lines on requests beyond a quota.
+	excesses bounded
 	// held counts the requests that wait for the first configuration.
 	held int
 	// denials bounds the lines on requests that are denied.
@@ -187,6 +190,9 @@
 	route *hingeroutes.Route
 	// customer is whose request it is; nil if nobody's.
 	customer *hingecustomers.Customer
+	// charge is what it counts for its customer's quota, counted says that it does.
+	charge   hingequota.Charge
+	counted  bool
 	service  hingeids.Service
 	deadline time.Time
 	writer   *hingewire.Writer
@@ -227,6 +233,7 @@
 		asked:    asked,
 		route:    route,
 		customer: a.customer,
+		charge:   p.chargeOf(a, asked),
 		service:  route.Service(string(asked.ID)),
 		writer:   w,
 		ran:      hingeverdict.NotRun,
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -23,6 +23,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
 )
@@ -244,6 +245,10 @@
 
 func (w *world) Entries() int { return 1 }
 
+func (w *world) Leads() bool { return false }
+
+func (w *world) Quota(c hingeids.CallerID) hingecustomers.Quota { return w.Table().Quota(c) }
+
 func (w *world) Placers() []hingeids.HostID { return nil }
 
 func (w *world) Replicas() map[hingeids.Service][]hingebalance.Replica {
@@ -359,7 +364,7 @@
 	}
 	w.set(routes())
 	network := hingefake.NewNetwork()
-	owner := hingeplacer.NewOwner("entry-1", network.Link("entry-1"), w, time.Now, nil)
+	owner := hingeplacer.NewOwner("entry-1", network.Link("entry-1"), w, time.Now, nil, hingequota.StandardTerms)
 	p := New(Settings{
 		Self: hingeids.Life{
 			Host:        "entry-1",
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -83,9 +83,11 @@
 
 func (p *Proxy) streamed(r *run) {
 	now := p.settings.Clock()
+	p.meter.customer(r.caller(), outcomeAnswered)
 	p.meter.streamed(now.Sub(r.Arrived), r.relay.firstAt.Sub(r.Arrived))
 	p.settings.Recorder.Record(now, hingeevents.RequestAnswered, hingeevents.Fields{
 		Asked:  string(r.asked.ID),
+		Caller: r.caller(),
 		Took:   now.Sub(r.Arrived),
 		Count:  int64(r.relay.events),
 		Route:  r.route.Name,
@@ -118,7 +120,8 @@
 
 // moveOn decides whether another attempt is made.
 func (p *Proxy) moveOn(r *run, err *hingeverdict.Error) bool {
-	if err.Code == hingeverdict.CodeNoRoom || err.Code == hingeverdict.CodeDeadline {
+	switch err.Code {
+	case hingeverdict.CodeNoRoom, hingeverdict.CodeDeadline, hingeverdict.CodeOverQuota, hingeverdict.CodeQuotaUnknown:
 		return false
 	}
 	if r.relay.begun {
@@ -145,6 +148,8 @@
 		Left:     p.left(r.job),
 		Moved:    r.moved,
 		Avoid:    r.avoid,
+		Charge:   r.due(),
+		Priority: r.priority(),
 	}
 }
 
@@ -243,12 +248,12 @@
 	w.Cached = cached
 	placed := p.owner.Place(ctx, w)
 	if placed.Refused {
-		return placement{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoRoom, placed.RetryAfter,
-			eris.Errorf("short of %s", placed.Short))
+		return placement{}, refusal(placed)
 	}
 	if placed.NotHere || placed.Decode == "" {
 		return placement{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
 	}
+	r.counted = true
 	p.settings.Recorder.Record(p.settings.Clock(), hingeevents.RequestPlaced, hingeevents.Fields{
 		Asked:  string(r.asked.ID),
 		Server: placed.Decode,
@@ -264,6 +269,14 @@
 	}, nil
 }
 
+// refusal is the error of a stream that gets no engines.
+func refusal(a hingeplacer.Placement) *hingeverdict.Error {
+	if a.Cause != hingeplacer.NoRoom {
+		return hingeverdict.New(hingeverdict.NotRun, codeOf(a.Cause, 0), a.RetryAfter, nil)
+	}
+	return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoRoom, a.RetryAfter, eris.Errorf("short of %s", a.Short))
+}
+
 // blame keeps the rest of a request, and for a while other requests, away from an engine.
 func (p *Proxy) blame(r *run, at placement, id hingeids.ServerID, err *hingeverdict.Error) {
 	r.avoid = append(slices.Clip(r.avoid), id)
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -21,12 +21,14 @@
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeorders"
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 	"github.com/swifthinge/swifthinge/internal/membership/hingefollow"
@@ -54,7 +56,9 @@
 	// after one issuer's last order they may hear another's.
 	ChecksFence bool
 	IssuerPause time.Duration
-	Recorder    *hingeevents.Recorder
+	// Quotas are what customers' quotas are judged by.
+	Quotas   hingequota.Terms
+	Recorder *hingeevents.Recorder
 }
 
 const (
@@ -115,7 +119,7 @@
 			c.source.Merge(now, records)
 		},
 	}, c.link, o.Seeds)
-	c.placer = hingeplacer.New(c, c.places, hingeclock.Boot)
+	c.placer = hingeplacer.New(c, c.places, hingeclock.Boot, o.Quotas)
 	c.placer.Handle(c.link, c.options.Recorder)
 	c.roles = newRoles(c, o.Engines(c.Address))
 	return c, nil
@@ -270,7 +274,7 @@
 // none that changes its role.
 func (c *Control) Engines() map[hingeids.Service][]hingefleet.Engine {
 	all := c.world.Load().Engines()
-	leads := c.leads()
+	leads := c.Leads()
 	away := map[hingeids.ServerID]bool{}
 	if a := c.away.Load(); a != nil {
 		away = *a
@@ -295,7 +299,7 @@
 // host that hears no leader.
 func (c *Control) Replicas() map[hingeids.Service][]hingebalance.Replica {
 	all := c.world.Load().Replicas()
-	if c.leads() {
+	if c.Leads() {
 		return all
 	}
 	out := make(map[hingeids.Service][]hingebalance.Replica, len(all))
@@ -309,15 +313,25 @@
 	return out
 }
 
-// leads reports whether this host was elected, whether or not its lease holds at the
+// Quota gives a customer's quota.
+func (c *Control) Quota(id hingeids.CallerID) hingecustomers.Quota {
+	return c.world.Load().Table().Quota(id)
+}
+
+// Entries is how many entry hosts there are.
+func (c *Control) Entries() int {
+	return c.source.Entries()
+}
+
+// Leads reports whether this host was elected, whether or not its lease holds at the
 // moment: placing is advice, and a lease that lapses for a heartbeat is no reason to forget the fleet.
-func (c *Control) leads() bool {
+func (c *Control) Leads() bool {
 	return c.group.Standing().Leads
 }
 
 // places reports whether streams are placed here.
 func (c *Control) places() bool {
-	return c.leads() || c.group.Leader() == ""
+	return c.Leads() || c.group.Leader() == ""
 }
 
 // Documents is where each accepted configuration is published.
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -24,6 +24,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 	"github.com/swifthinge/swifthinge/internal/membership/hingefollow"
@@ -47,6 +48,8 @@
 	// Parse reads the body of a configuration.
 	Parse  func(body []byte) (*hingeroutes.Table, error)
 	Budget hingeproxy.Budget
+	// Quotas are what customers' quotas are judged by.
+	Quotas hingequota.Terms
 	// Grace is how long the process may take to end.
 	Grace    time.Duration
 	Recorder *hingeevents.Recorder
@@ -107,7 +110,7 @@
 		Clock: hingeclock.Boot,
 		Took:  f.took,
 	}, f.link, o.Seeds)
-	f.owner = hingeplacer.NewOwner(o.Life.Host, f.link, f, hingeclock.Boot, o.Recorder)
+	f.owner = hingeplacer.NewOwner(o.Life.Host, f.link, f, hingeclock.Boot, o.Recorder, o.Quotas)
 	f.proxy = hingeproxy.New(hingeproxy.Settings{
 		Self:     o.Life,
 		Zone:     o.Zone,
--- a/internal/serve/hingefront/world.go
+++ b/internal/serve/hingefront/world.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -78,6 +79,16 @@
 	return max(f.follower.State().Load().Entries, 1)
 }
 
+// Quota gives a customer's quota.
+func (f *Front) Quota(c hingeids.CallerID) hingecustomers.Quota {
+	return f.Table().Quota(c)
+}
+
+// Leads is false: an entry host is elected by nobody.
+func (*Front) Leads() bool {
+	return false
+}
+
 // controlSilence is how long after its last word a control host is still asked: a
 // question waits for two seconds there.
 const controlSilence = 3 * time.Second
