--- a/internal/observe/hingeaccount/account.go
+++ b/internal/observe/hingeaccount/account.go
@@ -36,18 +36,21 @@
 	Late    Outcome = "late"
 	Refused Outcome = "refused"
 	Failed  Outcome = "failed"
+	Denied  Outcome = "denied"
 	Gone    Outcome = "caller gone"
 	Lost    Outcome = "lost with its host"
 )
 
 // Outcomes lists them in the order of the tables.
-var Outcomes = []Outcome{OnTime, Late, Refused, Failed, Gone, Lost}
+var Outcomes = []Outcome{OnTime, Late, Refused, Failed, Denied, Gone, Lost}
 
 // Request is what is known of one request.
 type Request struct {
 	Asked string
 	Route string
-	Host  hingeids.HostID
+	// Customer is whose it was, empty if nobody's.
+	Customer hingeids.CallerID
+	Host     hingeids.HostID
 	// EndedAt is when it ended, or when it was placed last if it never did.
 	EndedAt time.Time
 	Outcome Outcome
@@ -69,6 +72,8 @@
 	Zones map[hingeids.HostID]hingeids.Zone
 	// Dropped is how many lines their writers dropped.
 	Dropped int64
+	// Unnamed is how many requests were denied, or refused beyond a quota, that have no line of their own (hingeproxy bounds these).
+	Unnamed int64
 
 	requests map[string]*Request
 	// fills are the predicted fills of the engines that streams were placed on, by second.
@@ -127,6 +132,9 @@
 	if l.Fields.Route != "" {
 		r.Route = l.Fields.Route
 	}
+	if l.Fields.Caller != "" {
+		r.Customer = l.Fields.Caller
+	}
 	a.takeOf(r, l)
 }
 
@@ -153,6 +161,12 @@
 		}
 	case hingeevents.RequestGivenUp:
 		r.giveUp(l)
+	case hingeevents.RequestOverQuota:
+		r.end(l.At, Refused, "beyond the customer's quota")
+		a.Unnamed += l.Fields.Count - 1
+	case hingeevents.RequestDenied:
+		r.end(l.At, Denied, verdictOf(l.Fields.Detail))
+		a.Unnamed += l.Fields.Count - 1
 	case hingeevents.CallerGone:
 		r.end(l.At, Gone, "")
 	}
--- a/internal/observe/hingeaccount/account_test.go
+++ b/internal/observe/hingeaccount/account_test.go
@@ -60,10 +60,11 @@
 		got[r.Outcome]++
 	}
 	want := map[Outcome]int{
-		OnTime:  2,
+		OnTime:  3,
 		Late:    2,
-		Refused: 1,
+		Refused: 2,
 		Failed:  2,
+		Denied:  1,
 		Gone:    1,
 		Lost:    1,
 	}
--- a/internal/observe/hingeaccount/tables.go
+++ b/internal/observe/hingeaccount/tables.go
@@ -46,9 +46,19 @@
 	if a.Dropped > 0 {
 		fmt.Fprintf(&b, "%d lines were dropped by their writers: what follows lacks them.\n\n", a.Dropped)
 	}
+	if a.Unnamed > 0 {
+		fmt.Fprintf(&b, "%d requests that were denied or beyond a quota have no line of their own, and aren't counted here.\n\n", a.Unnamed)
+	}
 	a.writeCounts(&b, "route", By(list, func(r *Request) string {
 		return r.Route
 	}))
+	if slices.ContainsFunc(list, func(r *Request) bool {
+		return r.Customer != ""
+	}) {
+		a.writeCounts(&b, "customer", By(list, func(r *Request) string {
+			return string(r.Customer)
+		}))
+	}
 	a.writeCounts(&b, "zone", By(list, func(r *Request) string {
 		return string(a.Zones[r.Host])
 	}))
