Leave more of the margin for what nobody knows, since the bound holds only just in some draws

Change: 0.15 of the margin given out while all hosts are heard (0.25), 0.05 on behalf of what nobody told (0.1), and what was forgotten stays counted for 0.28 of the window (0.2). The test plays five draws of the closest case.

--- a/internal/decide/hingequota/sim_test.go
+++ b/internal/decide/hingequota/sim_test.go
@@ -511,9 +511,7 @@
 			below := 0.0
 			for _, x := range troubles {
 				r := play(s, x, newCounted(s, dayStart.Add(-2*s.terms.Window), x.zonePlaces), 1)
-				if r.highest > 1 {
-					t.Errorf("%d hosts, %s, rate %g: %.2f of the bound", s.hosts, x.name, rate, r.highest)
-				}
+				checkBound(t, s, x, r)
 				if x.cutShare == 0 || x.zonePlaces {
 					below += r.refusedBelow / float64(len(troubles)-1)
 				}
@@ -525,6 +523,26 @@
 	}
 }
 
+func checkBound(t *testing.T, s setup, x trouble, r result) {
+	t.Helper()
+	if r.highest > 1 {
+		t.Errorf("%d hosts, %s, rate %g: %.3f of the bound", s.hosts, x.name, s.quota.Rate, r.highest)
+	}
+}
+
+// The bound of a large customer is the closest: its margin is an eighth of its quota. Chance decides how close together its
+// requests lie when something fails, so that one draw shows little.
+func TestQuotaOfALargeCustomerHoldsOverManyDraws(t *testing.T) {
+	s := sizes[1]
+	s.customers = 2
+	s.terms, s.quota = modelTerms, modelQuota(236000)
+	for _, x := range troubles {
+		for seed := range uint64(5) {
+			checkBound(t, s, x, play(s, x, newCounted(s, dayStart.Add(-2*s.terms.Window), x.zonePlaces), seed))
+		}
+	}
+}
+
 // BenchmarkWays plays each way on each trouble, and tells what it refuses below the quota and how far it lets a customer go; set
 // WAYS to see the table.
 func BenchmarkWays(b *testing.B) {
--- a/internal/decide/hingequota/terms.go
+++ b/internal/decide/hingequota/terms.go
@@ -107,19 +107,19 @@
 	tightShare = 0.75
 	// givenShare is the part of the margin that is given out while all hosts are heard, for a customer that comes close to its quota
 	// in a burst. nearlyAll is the share of uses that may be unknown then.
-	givenShare = 0.25
+	givenShare = 0.15
 	nearlyAll  = 0.02
 	// littleUnknown is the share of all uses that may be unknown to a placer that names the tight customers: what hosts that
 	// are down for a moment have used.
 	littleUnknown = 0.2
 	// forgottenHold is the part of the window for which nothing of what hosts have forgotten is taken to have left it: a customer that
 	// asks for more than it may uses what becomes free at once, so that its uses lie close together.
-	forgottenHold = 0.2
+	forgottenHold = 0.28
 	// partedShare is the part of the margin that is given out by hosts that count without leading. What is left of it
 	// covers requests on their way, answers that are lost, and two leaders for a moment.
 	partedShare = 0.5
 	// unknownShare is the part of it that a leader gives out on behalf of what nobody has told it (rule 3).
-	unknownShare = 0.1
+	unknownShare = 0.05
 	// leastRetry keeps a caller from coming back before its refusal has reached it.
 	leastRetry = 100 * time.Millisecond
 	// unknownRetry is when a host that hears nobody, or has just begun to count, is likely to know more: after an election
