Work parts of quotas out by a count of hosts that stands through cuts

Before the cut both counted 80: hosts that asked whether their configuration was the newest were counted as followers of each control host that they asked.

Ruled out: the grace after a change of placer (0.18 of a quota, as the model has it), and the leader's own count.

Change: the highest count of hosts stands as long as a silent host is taken to go on, which is two minutes now (15 s before: after it a cut that lasts gave out a quota and a part of it); a side that is cut off gives out only its part of the margin shortly before that. A question on the newest configuration isn't followed by being counted.

TestBothSidesOfALongCutStayBelowTheBound fails at 5 s without the count and at 2 min 5 s without the end of the parts.

--- a/internal/decide/hingequota/book.go
+++ b/internal/decide/hingequota/book.go
@@ -14,9 +14,12 @@
 	// silentAfter is how long a host may say nothing before it is taken to be cut off (rule 4): it reports twice a second
 	// while anything of its own is in the window. To be wrong costs little, until its next word.
 	silentAfter = 800 * time.Millisecond
-	// forgetAfter is how long after its last word a host is forgotten. Cuts that last longer are rare, and most silent hosts are gone
-	// for good.
-	forgetAfter = 15 * time.Second
+	// forgetAfter is how long after its last word a host is forgotten: until then one that is gone for good keeps its even part of each
+	// quota from the others, 1 in 560 or in 6. Cuts that last longer come a few times a year.
+	forgetAfter = 2 * time.Minute
+	// apartFor is how long a side that is cut off gives out what the others leave to it: it begins to count seconds after they last heard
+	// it, and has to end a window before they forget it.
+	apartFor = forgetAfter - 20*time.Second
 )
 
 // owner is a host whose requests are counted.
@@ -44,6 +47,7 @@
 // Book counts for all hosts that ask it. It is not safe for concurrent use.
 type Book struct {
 	terms Terms
+	hosts hosts
 	epoch time.Time
 	// began is when this book began to count, leads whether all of each quota is its to give out.
 	began    time.Time
@@ -178,6 +182,7 @@
 	a := b.account(c.Customer)
 	b.expire(now, a)
 	quota := b.terms.quota(q)
+	hosts = b.hosts.count(now, hosts)
 	a.scale(quota)
 	limit := b.limit(now, c, a, quota, hosts)
 	a.asked.add(now, float64(c.Cost))
@@ -209,8 +214,11 @@
 	margin := float64(b.terms.margin(quota))
 	if !b.leads {
 		share := min(float64(len(b.owners))/float64(max(hosts, 1)), 1)
-		even := hingeids.Units(share * float64(quota))
-		return min(max(a.basis, even)+hingeids.Units(share*partedShare*margin), quota)
+		left := max(a.basis, hingeids.Units(share*float64(quota)))
+		if now.Sub(b.began) > apartFor {
+			left = 0
+		}
+		return min(left+hingeids.Units(share*partedShare*margin), quota)
 	}
 	missing, forgotten := b.unknown(now, hosts)
 	if missing+forgotten < nearlyAll && b.parted == 0 && b.sure(now) {
@@ -360,7 +368,7 @@
 	slices.SortFunc(out, func(x, y Tight) int {
 		return cmp.Compare(x.Customer, y.Customer)
 	})
-	missing, forgotten := b.unknown(now, hosts)
+	missing, forgotten := b.unknown(now, b.hosts.count(now, hosts))
 	return out, missing+forgotten < littleUnknown
 }
 
--- a/internal/decide/hingequota/book_test.go
+++ b/internal/decide/hingequota/book_test.go
@@ -202,6 +202,63 @@
 	}
 }
 
+// A region is cut off for minutes while a customer asks for all it can get on both sides. As fewer hosts are heard, each side could take
+// itself for the whole fleet; and once the others have forgotten it, a side must no longer give out what they left to it.
+func TestBothSidesOfALongCutStayBelowTheBound(t *testing.T) {
+	const all, cut = 60, 20
+	lead, apart := NewBook(modelTerms), NewBook(modelTerms)
+	q := modelQuota(18000)
+	bound := modelTerms.quota(q) + modelTerms.margin(modelTerms.quota(q))
+	begin := start.Add(-time.Minute)
+	lead.Begin(begin, true)
+	apart.Begin(start, false)
+	var used []dayUse
+	id := 0
+	for at := -10 * time.Second; at < 3*time.Minute; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		isCut := at >= 0
+		for i := range all {
+			book, heard := lead, all
+			if isCut && i < cut {
+				book = apart
+			}
+			if isCut && at > 5*time.Second {
+				// Each side hears its own hosts only.
+				heard = all - cut
+				if i < cut {
+					heard = cut
+				}
+			}
+			if book.Hear(now, host(i)) {
+				book.Tell(now, host(i), nil, time.Hour)
+			}
+			if at%time.Second == 0 {
+				book.Step(now)
+			}
+			if i%10 != 0 {
+				continue
+			}
+			id++
+			c := charge(id, 9000)
+			c.Doubtful = true
+			if book.Admit(now, c, q, heard, time.Minute).Admitted {
+				book.Settle(now, host(i), c, true)
+				used = append(used, dayUse{
+					at:   at,
+					cost: c.Cost,
+				})
+			}
+		}
+		var sum hingeids.Units
+		for i := len(used) - 1; i >= 0 && at-used[i].at <= modelTerms.Window; i-- {
+			sum += used[i].cost
+		}
+		if sum > bound {
+			t.Fatalf("%d of %d in the window at %v of the cut", sum, bound, at)
+		}
+	}
+}
+
 // A placer that is busy with thousands of customers must not spend its processor on counting.
 func BenchmarkAdmit(b *testing.B) {
 	for _, customers := range []int{16, 7300} {
--- a/internal/decide/hingequota/lone.go
+++ b/internal/decide/hingequota/lone.go
@@ -13,6 +13,7 @@
 type Lone struct {
 	terms  Terms
 	ledger *Ledger
+	hosts  hosts
 	// since is the first request that found no placer, zero while one answers.
 	since time.Time
 	// basis is what each customer had used in the window at that time.
@@ -40,7 +41,7 @@
 			Admitted: true,
 		}
 	}
-	if !l.fits(now, c, q, hosts, lot) {
+	if !l.fits(now, c, q, l.hosts.count(now, hosts), lot) {
 		return Verdict{
 			RetryAfter: unknownRetry,
 		}
@@ -64,7 +65,11 @@
 	even := float64(quota) / float64(max(hosts, 1))
 	part := partedShare * float64(l.terms.margin(quota)) / float64(max(hosts, 1))
 	used := l.ledger.used(c.Customer, now.Add(-l.terms.Window))
-	left := max(float64(l.basisOf(c.Customer)), even) + part - float64(used)
+	own := max(float64(l.basisOf(c.Customer)), even)
+	if now.Sub(l.since) > apartFor {
+		own = 0
+	}
+	left := own + part - float64(used)
 	return left > lot*float64(c.Cost)
 }
 
--- a/internal/decide/hingequota/terms.go
+++ b/internal/decide/hingequota/terms.go
@@ -16,8 +16,8 @@
 //  4. A host that falls silent while it has something to report is taken to go on out of sight: with what it has used in the window,
 //     or its even part of each quota if that is more, until it has told what it did, or is forgotten.
 //  5. Whoever counts without leading (a control host that hears no leader) gives out the same for the hosts that ask it,
-//     and their even part of partedShare of the margin. By this and rule 4 all sides of a cut together stay below
-//     quota and margin.
+//     and their even part of partedShare of the margin; only the latter once the others may have forgotten it (apartFor). By
+//     this and rule 4 all sides of a cut together stay below quota and margin.
 //  6. In the first moments after a change of placer little is known, and most customers are far below their quotas. For
 //     graceTime their requests are let through. Hosts are told which customers are tight: those wait until it is known what
 //     they have used, and a host that hears no placer lets as large a part of their requests through as before, by lot. One that
--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -92,6 +92,8 @@
 	Entry bool `cbor:"5,keyasint,omitempty"`
 	// Brief asks for the version of a newer configuration only (rule 6).
 	Brief bool `cbor:"6,keyasint,omitempty"`
+	// Once says that the follower asks this host for rule 8, and doesn't follow it.
+	Once bool `cbor:"7,keyasint,omitempty"`
 }
 
 // named is a control host as others name it.
--- a/internal/membership/hingefollow/newest.go
+++ b/internal/membership/hingefollow/newest.go
@@ -102,6 +102,7 @@
 		Version: f.state.Load().Document.Version,
 		Fresh:   true,
 		Entry:   f.settings.Entry,
+		Once:    true,
 	}
 	f.mu.Unlock()
 	a, err := f.put(ctx, id, q)
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -174,7 +174,7 @@
 	if q.Life != s.life {
 		q.Change = 0
 	}
-	if q.Entry {
+	if q.Entry && !q.Once {
 		s.mu.Lock()
 		s.entries[from] = s.clock()
 		s.mu.Unlock()
