swifthinge serve tells customers by their keys, and believes X-Caller only behind a gateway

Cause: whoever sent X-Caller was believed: a caller could use up another's fair share, and read the answers kept under its idempotency keys.

Where there are customers a request needs a key (Authorization: Bearer), else 401 with code 1012; the key doesn't go on to a plain service, which gets the customer's name. callers.gateway in the settings has X-Caller believed, as before, for those who have their own gateway in front; swifthinge-load plays one. Rules may hold values that can be missing (hingetoml).

Not built: quotas, and finding out whether a key was just added, for serve. Its fair shares are as they were.

Tests: testdata/customers.txt (11 cases), TestNameIsBelievedOnlyBehindAGateway, TestKeysStayOnTheOperatorsMachine, script customer.txtar. The list of known settings in a test names the new one.

--- a/internal/config/hingeinventory/checkrules.go
+++ b/internal/config/hingeinventory/checkrules.go
@@ -15,6 +15,7 @@
 	if r.KeepKeys < 0 {
 		d.Problem("keepKeys", "is below zero", `a duration such as "24h"`)
 	}
+	checkCustomers(d, r)
 	classes := newNames(d, "class")
 	for i := range r.Classes {
 		c := &r.Classes[i]
--- a/internal/config/hingeinventory/documents.go
+++ b/internal/config/hingeinventory/documents.go
@@ -12,6 +12,8 @@
 	KeepKeys hingetoml.Duration `toml:"keepKeys"`
 	Weights  Weights            `toml:"weights"`
 	Classes  []classDocument    `toml:"classes"`
+	// Customers stand last, as their tables would take in what follows.
+	Customers []Customer `toml:"customers,omitempty"`
 }
 
 // classDocument is a Class as written in a file or item.
@@ -31,8 +33,9 @@
 
 func (d *rulesDocument) rules() Rules {
 	r := Rules{
-		Weights:  d.Weights,
-		KeepKeys: time.Duration(d.KeepKeys),
+		Weights:   d.Weights,
+		KeepKeys:  time.Duration(d.KeepKeys),
+		Customers: d.Customers,
 	}
 	for i := range d.Classes {
 		r.Classes = append(r.Classes, d.Classes[i].class())
--- a/internal/config/hingeinventory/inventory.go
+++ b/internal/config/hingeinventory/inventory.go
@@ -90,6 +90,8 @@
 	Classes []Class `toml:"classes"`
 	// KeepKeys is how long an idempotency key is remembered.
 	KeepKeys time.Duration `toml:"keepKeys"`
+	// Customers are those whose keys are asked for; without any, nobody needs one.
+	Customers []Customer `toml:"customers"`
 }
 
 // Weights are the two ends of the trade-off between the firms.
--- a/internal/config/hingeinventory/items.go
+++ b/internal/config/hingeinventory/items.go
@@ -23,6 +23,7 @@
 	classPath    = "rules/classes/"
 	weightsPath  = "rules/weights"
 	keepKeysPath = "rules/keepKeys"
+	customerPath = "rules/customers/"
 	storePath    = "weightStore"
 )
 
@@ -75,6 +76,9 @@
 			Class: documentOf(c),
 		})
 	}
+	for _, c := range r.Customers {
+		items.put(customerPath+string(c.Name), c.sealed())
+	}
 	return items
 }
 
--- a/internal/config/hingeinventory/join.go
+++ b/internal/config/hingeinventory/join.go
@@ -74,8 +74,13 @@
 		j.read(path, document, &c)
 		j.classes = append(j.classes, c)
 		j.named(path, classPath+c.Class.Name, "")
+	case strings.HasPrefix(path, customerPath):
+		var c Customer
+		j.read(path, document, &c)
+		j.rules.Customers = append(j.rules.Customers, c)
+		j.named(path, customerPath+string(c.Name), indexed("customers", len(j.rules.Customers)-1))
 	default:
-		j.note(path, "", "no such item", "a path below zones, models, services, servers, links or rules/classes, or "+
+		j.note(path, "", "no such item", "a path below zones, models, services, servers, links rules/classes or rules/customers, or "+
 			strings.Join([]string{storePath, weightsPath, keepKeysPath}, ", "))
 	}
 }
--- a/internal/config/hingeinventory/parse.go
+++ b/internal/config/hingeinventory/parse.go
@@ -67,5 +67,8 @@
 	for _, c := range r.Classes {
 		document.Classes = append(document.Classes, documentOf(c))
 	}
+	for _, c := range r.Customers {
+		document.Customers = append(document.Customers, c.sealed())
+	}
 	return marshal(inv), marshal(document)
 }
--- a/internal/config/hingesettings/settings.go
+++ b/internal/config/hingesettings/settings.go
@@ -36,6 +36,8 @@
 	Keys Keys `toml:"keys"`
 	// Limits bound what callers can take up.
 	Limits Limits `toml:"limits"`
+	// Callers says how callers come here.
+	Callers Callers `toml:"callers"`
 	// Peers are all entry hosts, this one among them.
 	Peers []Peer `toml:"peers"`
 }
@@ -72,6 +74,13 @@
 	SlowReader Duration `toml:"slowReader"`
 }
 
+// Callers says how callers come to a host.
+type Callers struct {
+	// Gateway says that all callers come through a gateway of the operators' own, which names the customer in X-Caller. Without
+	// it that name is a caller's own, and isn't believed: whoever takes another's name would use up its share.
+	Gateway bool `toml:"gateway"`
+}
+
 // Peer is one entry host as its peers see it.
 type Peer struct {
 	Host hingeids.HostID `toml:"host"`
--- a/internal/config/hingetoml/fit.go
+++ b/internal/config/hingetoml/fit.go
@@ -40,6 +40,10 @@
 			return
 		}
 		d.fitTable(path, table, v)
+	case reflect.Pointer:
+		// A value that may be missing.
+		v.Set(reflect.New(v.Type().Elem()))
+		d.fitValue(path, value, v.Elem())
 	case reflect.Slice:
 		d.fitSlice(path, value, v)
 	default:
--- a/internal/load/hingeload/run_test.go
+++ b/internal/load/hingeload/run_test.go
@@ -33,6 +33,8 @@
 		Link:      "127.0.0.1:0",
 	}
 	settings.DataFolder = t.TempDir()
+	// The load names its customers, as a gateway would.
+	settings.Callers.Gateway = true
 	settings.Peers = []hingesettings.Peer{
 		{
 			Host: "cancale-1",
--- a/internal/operate/hingecommand/serve.go
+++ b/internal/operate/hingecommand/serve.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/base64"
 	"flag"
+	"fmt"
 	"os"
 	"os/signal"
 	"strconv"
@@ -13,6 +16,8 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
+	"github.com/swifthinge/swifthinge/internal/config/hingeinventory"
 	"github.com/swifthinge/swifthinge/internal/config/hingesettings"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
@@ -125,10 +130,31 @@
 				},
 				Action: keyAction(p.Renew, p.Now),
 			},
+			{
+				Name:  "customer",
+				Usage: "make an API key for a customer, and print it and its digest",
+				Description: "The key goes to the customer, and nowhere else. The rules need the digest only (keyDigests), from which\n" +
+					"nobody finds the key.",
+				Action: p.customerKey,
+			},
 		},
 	}
 }
 
+// customerKeyBytes is the chance in an API key: nobody finds one by trying.
+const customerKeyBytes = 24
+
+func (p *program) customerKey(context.Context, *cli.Command) error {
+	b := make([]byte, customerKeyBytes)
+	if _, err := rand.Read(b); err != nil {
+		return eris.Wrap(err, "API key")
+	}
+	text := base64.RawURLEncoding.EncodeToString(b)
+	digest := hingeinventory.DigestText(hingecustomers.Key(text))
+	_, err := fmt.Fprintf(p.Out, "key     %s\ndigest  %s\n", text, digest)
+	return eris.Wrap(err, "API key")
+}
+
 var errNoKeys = eris.New("keys are not part of this program")
 
 func authorityAction(make func(string, time.Time) error, now func() time.Time) cli.ActionFunc {
--- a/internal/path/hingecaller/badinput_test.go
+++ b/internal/path/hingecaller/badinput_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeinventory"
 	"github.com/swifthinge/swifthinge/internal/config/hingesettings"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -27,12 +28,18 @@
 // named panics brings out.
 type badWorld struct {
 	asked *hingedispatch.Work
+	// customers are those whose keys are asked for, if any.
+	customers *hingecustomers.Set
 }
 
 func (b *badWorld) HasModel(m hingeids.Model) bool {
 	return m == "m" || m == "panics"
 }
 
+func (b *badWorld) Customers() *hingecustomers.Set {
+	return b.customers
+}
+
 func (b *badWorld) ServiceFor(string) (hingeids.Service, bool) {
 	return "", false
 }
--- a/internal/path/hingecaller/bench_test.go
+++ b/internal/path/hingecaller/bench_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeinventory"
 	"github.com/swifthinge/swifthinge/internal/config/hingesettings"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -36,6 +37,8 @@
 
 func (one) ServiceFor(string) (hingeids.Service, bool) { return "", false }
 
+func (one) Customers() *hingecustomers.Set { return nil }
+
 func (one) Classify(hingeids.Model, hingeids.Service, string, string) hingeinventory.Class {
 	return hingeinventory.Class{
 		Name: "text",
--- a/internal/path/hingecaller/caller.go
+++ b/internal/path/hingecaller/caller.go
@@ -14,6 +14,8 @@
 //     Idempotency-Key: a resend gets the whole answer of the first run, or is
 //     told that it ran. For other completions the key is ignored.
 //  7. A handler that panics ends its own request, with an event, and no other.
+//  8. Whose request it is is told by its API key, where the rules name customers; the key doesn't go on to a backend
+//     server. A name that the caller gives itself is believed only behind the operators' own gateway.
 package hingecaller
 
 import (
@@ -27,6 +29,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeinventory"
 	"github.com/swifthinge/swifthinge/internal/config/hingesettings"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -41,6 +44,8 @@
 	// ServiceFor finds the plain service that a path is routed to.
 	ServiceFor(path string) (hingeids.Service, bool)
 	Classify(m hingeids.Model, s hingeids.Service, path, method string) hingeinventory.Class
+	// Customers are those whose keys are asked for, nil if nobody needs one.
+	Customers() *hingecustomers.Set
 }
 
 // Completions carries completions; hingedispatch.Dispatcher does.
@@ -60,8 +65,10 @@
 
 // Config is what a Server is made of.
 type Config struct {
-	Life        hingeids.Life
-	Limits      hingesettings.Limits
+	Life   hingeids.Life
+	Limits hingesettings.Limits
+	// Gateway says that callers come through a gateway of the operators' own, which names the customer.
+	Gateway     bool
 	Catalogue   Catalogue
 	Completions Completions
 	Services    Services
@@ -275,15 +282,6 @@
 	}
 }
 
-// callerOf names the caller as the platform's balancer did. Callers without a
-// name share one fair share.
-func callerOf(ctx *fasthttp.RequestCtx) hingeids.CallerID {
-	if c := ctx.Request.Header.Peek("X-Caller"); len(c) > 0 {
-		return hingeids.CallerID(c)
-	}
-	return "anonymous"
-}
-
 // deadlineOf gives the time by which the caller wants its answer: its own
 // X-Deadline-Ms, within the class's, or the class's.
 func deadlineOf(ctx *fasthttp.RequestCtx, class hingeinventory.Class, now time.Time) (time.Time, error) {
--- a/internal/path/hingecaller/completion.go
+++ b/internal/path/hingecaller/completion.go
@@ -103,13 +103,18 @@
 	if err != nil {
 		return nil, false, err
 	}
+	who, err := s.askerOf(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	class.Priority = who.rank(class.Priority)
 	if class.Priority, err = priorityOf(ctx, class); err != nil {
 		return nil, false, err
 	}
 	prompt := c.text()
 	return &hingedispatch.Work{
 		Request:      id,
-		Caller:       callerOf(ctx),
+		Caller:       who.name,
 		Class:        class,
 		Model:        c.Model,
 		Path:         path,
--- a/internal/path/hingecaller/refuse.go
+++ b/internal/path/hingecaller/refuse.go
@@ -18,6 +18,7 @@
 	hingeverdict.CodeTooLarge:          fasthttp.StatusRequestEntityTooLarge,
 	hingeverdict.CodeUnknownModel:      fasthttp.StatusNotFound,
 	hingeverdict.CodeUnknownService:    fasthttp.StatusNotFound,
+	hingeverdict.CodeNoCustomer:        fasthttp.StatusUnauthorized,
 	hingeverdict.CodeNoCaller:          fasthttp.StatusBadRequest,
 	hingeverdict.CodeKeyMissing:        fasthttp.StatusBadRequest,
 	hingeverdict.CodeKeyOtherBody:      fasthttp.StatusUnprocessableEntity,
--- a/internal/path/hingecaller/service.go
+++ b/internal/path/hingecaller/service.go
@@ -29,6 +29,11 @@
 			eris.Errorf("no service at %.200q", path)))
 		return
 	}
+	who, err := s.askerOf(ctx)
+	if err != nil {
+		refuse(ctx, id, err)
+		return
+	}
 	now := s.config.Now()
 	class := s.config.Catalogue.Classify("", service, path, string(ctx.Method()))
 	deadline, err := deadlineOf(ctx, class, now)
@@ -36,6 +41,7 @@
 		refuse(ctx, id, err)
 		return
 	}
+	class.Priority = who.rank(class.Priority)
 	sent := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(sent)
 	ctx.Request.CopyTo(sent)
@@ -43,11 +49,12 @@
 		sent.Header.Del(h)
 	}
 	sent.Header.Set("X-Request-Id", id.String())
+	who.sign(sent)
 	request, end := s.watch(ctx, id, deadline)
 	defer end()
 	err = s.config.Services.Do(request, &hingedispatch.Call{
 		Request:  id,
-		Caller:   callerOf(ctx),
+		Caller:   who.name,
 		Class:    class,
 		Service:  service,
 		Key:      hingeids.IdempotencyKey(ctx.Request.Header.Peek("Idempotency-Key")),
@@ -75,7 +82,12 @@
 			eris.New("keys take POST")))
 		return
 	}
-	key, err := s.config.Keys.Issue(ctx, callerOf(ctx))
+	who, err := s.askerOf(ctx)
+	if err != nil {
+		refuse(ctx, id, err)
+		return
+	}
+	key, err := s.config.Keys.Issue(ctx, who.name)
 	if err != nil {
 		refuse(ctx, id, err)
 		return
--- a/internal/serve/hingeserver/catalogue.go
+++ b/internal/serve/hingeserver/catalogue.go
@@ -1,6 +1,7 @@
 package hingeserver
 
 import (
+	"github.com/swifthinge/swifthinge/internal/config/hingecustomers"
 	"github.com/swifthinge/swifthinge/internal/config/hingeinventory"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -13,6 +14,7 @@
 	Rules     hingeinventory.Rules
 	models    map[hingeids.Model]hingeinventory.Model
 	owned     map[hingeids.ServerID]bool
+	customers *hingecustomers.Set
 }
 
 func newConfiguration(r hingeids.Revision, inv hingeinventory.Inventory, rules hingeinventory.Rules) *Configuration {
@@ -22,6 +24,7 @@
 		Rules:     rules,
 		models:    make(map[hingeids.Model]hingeinventory.Model, len(inv.Models)),
 		owned:     make(map[hingeids.ServerID]bool, len(inv.Servers)),
+		customers: rules.CustomerSet(),
 	}
 	for _, m := range inv.Models {
 		c.models[m.Name] = m
@@ -48,6 +51,11 @@
 	return c.configuration.Load().Inventory.ServiceOf(path)
 }
 
+// Customers are those whose keys are asked for, nil if nobody needs one.
+func (c catalogue) Customers() *hingecustomers.Set {
+	return c.configuration.Load().customers
+}
+
 // Classify gives the class of a request.
 func (c catalogue) Classify(
 	m hingeids.Model, s hingeids.Service, path, method string,
--- a/internal/serve/hingeserver/server.go
+++ b/internal/serve/hingeserver/server.go
@@ -247,8 +247,9 @@
 		meter:  counts,
 	}
 	return hingecaller.New(hingecaller.Config{
-		Life:   s.life,
-		Limits: s.settings.Limits,
+		Life:    s.life,
+		Limits:  s.settings.Limits,
+		Gateway: s.settings.Callers.Gateway,
 		Catalogue: catalogue{
 			configuration: &s.configuration,
 		},
