Count entry hosts by joined sets of who asks each control host

Cause: entry hosts were counted as the sum of those that ask each control host, over how many each asks.

Ruled out: the lowest count of some seconds (81 stood for fifteen), and the leader's own count of hosts that told (it can't tell a phantom from a zone that is cut off when a new leader begins).

Change: control hosts tell each other a bitmap of who asks them, 512 bytes, which joined counts each host once (linear counting).

--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -112,8 +112,8 @@
 	Control  []named                `cbor:"6,keyasint,omitempty"`
 	// Version is that of the newest configuration, whether or not Document is sent.
 	Version hingeversion.Version `cbor:"12,keyasint,omitempty"`
-	// Asking is how many entry hosts ask this host, Entries how many there are in all.
-	Asking  int           `cbor:"13,keyasint,omitempty"`
+	// Askers are the entry hosts that ask this host, told to control hosts only; Entries is how many there are in all.
+	Askers  Askers        `cbor:"15,keyasint,omitempty"`
 	Entries int           `cbor:"7,keyasint,omitempty"`
 	Fresh   bool          `cbor:"8,keyasint,omitempty"`
 	InTouch bool          `cbor:"9,keyasint,omitempty"`
@@ -144,22 +144,8 @@
 	// InTouch says that it heard a leader, HeardAt when it said so; zero before it said anything.
 	InTouch bool
 	HeardAt time.Time
-	// Asking is how many entry hosts ask it.
-	Asking int
-}
-
-// CountEntries gives how many entry hosts there are, from how many ask each control host: each
-// asks as many of them as it may.
-func CountEntries(asking []int) int {
-	sum := 0
-	for _, n := range asking {
-		sum += n
-	}
-	asked := min(mostFollowed, len(asking))
-	if asked == 0 {
-		return 0
-	}
-	return (sum + asked - 1) / asked
+	// Askers are the entry hosts that ask it.
+	Askers Askers
 }
 
 // Settings of a follower.
@@ -311,7 +297,7 @@
 	h.zone = a.Zone
 	h.behind = false
 	h.inTouch = a.InTouch
-	h.asking = a.Asking
+	h.askers = a.Askers
 	next := *f.state.Load()
 	if a.Document != nil && a.Document.Version > next.Document.Version {
 		next.Document = *a.Document
--- a/internal/membership/hingefollow/hosts.go
+++ b/internal/membership/hingefollow/hosts.go
@@ -21,7 +21,7 @@
 	change  uint64
 	zone    hingeids.Zone
 	inTouch bool
-	asking  int
+	askers  Askers
 	// first says that it sends configurations whole, and behind that it has told
 	// of one that hasn't come (rule 6).
 	first  bool
@@ -120,7 +120,7 @@
 			Zone:    h.zone,
 			InTouch: h.inTouch,
 			HeardAt: h.heard,
-			Asking:  h.asking,
+			Askers:  h.askers,
 		})
 	}
 	slices.SortFunc(out, func(a, b ControlHost) int {
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -41,8 +41,8 @@
 type Peers interface {
 	// ZoneOf gives the zone of a control host, empty if it isn't known.
 	ZoneOf(h hingeids.HostID) hingeids.Zone
-	// Asking gives how many entry hosts ask each of the others.
-	Asking() []int
+	// Askers gives the entry hosts that ask each of the others.
+	Askers() []Askers
 }
 
 // Source answers followers, and holds the directory of a control host.
@@ -258,8 +258,11 @@
 	defer s.mu.Unlock()
 	a.Change = s.directory.Change()
 	a.Records = s.directory.Since(q.Change)
-	a.Asking = len(s.entries)
-	a.Entries = s.countEntries()
+	own := s.askers()
+	if !q.Entry {
+		a.Askers = own
+	}
+	a.Entries = s.countEntries(own)
 	return a
 }
 
@@ -267,12 +270,26 @@
 func (s *Source) Entries() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.countEntries()
+	return s.countEntries(s.askers())
 }
 
-// countEntries is Entries for a caller that holds the lock.
-func (s *Source) countEntries() int {
-	return CountEntries(append(s.peers.Asking(), len(s.entries)))
+// askers gives the entry hosts that ask this host. The caller holds the lock.
+func (s *Source) askers() Askers {
+	out := NewAskers()
+	for h := range s.entries {
+		out.Add(h)
+	}
+	return out
+}
+
+// countEntries counts the hosts that ask this one or another.
+func (s *Source) countEntries(own Askers) int {
+	all := NewAskers()
+	all.Join(own)
+	for _, a := range s.peers.Askers() {
+		all.Join(a)
+	}
+	return all.Count()
 }
 
 // named gives the members of the group with their zones, as far as they are known.
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -377,13 +377,13 @@
 // among those that are asked.
 const peerSilence = 5 * time.Second
 
-// Asking gives how many entry hosts ask each of the other control hosts.
-func (c *Control) Asking() []int {
-	var out []int
+// Askers gives the entry hosts that ask each of the other control hosts.
+func (c *Control) Askers() []hingefollow.Askers {
+	var out []hingefollow.Askers
 	now := hingeclock.Boot()
 	for _, x := range c.follower.State().Load().Control {
 		if now.Sub(x.HeardAt) < peerSilence {
-			out = append(out, x.Asking)
+			out = append(out, x.Askers)
 		}
 	}
 	return out
