--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -71,6 +71,7 @@
 	brief   bool
 	inTouch bool
 	fresh   bool
+	entry   bool
 }
 
 // shared is an answer as it travels.
@@ -200,6 +201,7 @@
 		brief:   q.Brief,
 		inTouch: standing.InTouch,
 		fresh:   fresh,
+		entry:   q.Entry,
 	}
 	now := s.clock()
 	s.mu.Lock()
