Idle hosts aren't asked for uses, and the placer waits for no lock when it counts entry hosts

Two costs at the leader on every site, with or without quotas: a host that had been silent for 0.8 s was asked for its uses with its next report, though it had none; and each report had the placer's loop take the lock under which hundreds of followers are answered, to count entry hosts.

Ruled out: priorities (alike on that site), the queue's order (the same for equal ones), processor of all hosts (171 for 175 seconds).

Change: only hosts that had uses in the window are asked; the count of entry hosts is made four times a second beside the loop.

--- a/internal/decide/hingequota/book.go
+++ b/internal/decide/hingequota/book.go
@@ -105,7 +105,8 @@
 		b.owners[h] = o
 		return true
 	}
-	if now.Sub(o.heardAt) > silentAfter {
+	// What a host without anything in the window has used since, it has used alone, and tells by itself.
+	if now.Sub(o.heardAt) > silentAfter && o.heardAt.Sub(o.usedAt) <= b.terms.Window {
 		o.told = false
 	}
 	o.heardAt = now
--- a/internal/decide/hingequota/book_test.go
+++ b/internal/decide/hingequota/book_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// Hosts of a fleet without quotas say nothing for a second now and then. If each were asked for its uses at its next word, the leader would take
+// twice the reports, in a burst as well, when its processor is what is short.
+func TestIdleHostsAreNotAskedAgain(t *testing.T) {
+	b := ledBook()
+	asked := 0
+	for i := range 20 {
+		if b.Hear(start.Add(time.Duration(i)*2*time.Second), "host-1") {
+			asked++
+		}
+	}
+	if asked != 0 {
+		t.Fatalf("asked %d times for uses that there aren't", asked)
+	}
+	b.use(start.Add(40*time.Second), charge(1, 10), tenASecond)
+	if !b.Hear(start.Add(43*time.Second), "host-1") {
+		t.Fatal("a host that fell silent with uses in the window isn't asked")
+	}
+}
+
 // A region is cut off for minutes while a customer asks for all it can get on both sides. As fewer hosts are heard, each side could take
 // itself for the whole fleet; and once the others have forgotten it, a side must no longer give out what they left to it.
 func TestBothSidesOfALongCutStayBelowTheBound(t *testing.T) {
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -90,6 +91,9 @@
 	away    hingeboard.Cell[map[hingeids.ServerID]bool]
 	settled hingeboard.Cell[hingeids.Fence]
 	world   hingeboard.Cell[hingeworld.World]
+	// entries is how many entry hosts there were when they were last counted: the placer asks for it with each report, and must not wait for
+	// the lock of whoever answers hundreds of followers.
+	entries atomic.Int64
 	// refusals are the announcements that weren't taken.
 	refusals refusals
 	done     chan struct{}
@@ -197,6 +201,7 @@
 			return nil
 		case <-ticker.C:
 			c.source.Step(hingeclock.Boot())
+			c.entries.Store(int64(c.source.Entries()))
 		}
 	}
 }
@@ -320,7 +325,7 @@
 
 // Entries is how many entry hosts there are.
 func (c *Control) Entries() int {
-	return c.source.Entries()
+	return int(c.entries.Load())
 }
 
 // Leads reports whether this host was elected, whether or not its lease holds at the
