The book of quotas keeps no second start and no span that is only summed up

epoch was always the moment at which the book began, and what a host knew was kept only to be added to the sum. Behaviour is the same: the package's tests and those of hingeplacer pass unchanged.

--- a/internal/decide/hingequota/account.go
+++ b/internal/decide/hingequota/account.go
@@ -11,7 +11,7 @@
 // use is one request that counts.
 type use struct {
 	id ChargeID
-	// at is nanoseconds since the book's epoch.
+	// at is nanoseconds since the book began.
 	at   int64
 	cost hingeids.Units
 	// through is the sum of this and all uses before it, those that have left the window included.
--- a/internal/decide/hingequota/book.go
+++ b/internal/decide/hingequota/book.go
@@ -25,11 +25,9 @@
 // owner is a host whose requests are counted.
 type owner struct {
 	heardAt time.Time
-	// told says that it has told all that it used since it was last silent, and ever that it has told anything; knows is how
-	// much of the window before that it knew of.
-	told  bool
-	ever  bool
-	knows time.Duration
+	// told says that it has told all that it used since it was last silent, and ever that it has told anything.
+	told bool
+	ever bool
 	// usedAt is when a request of it counted last.
 	usedAt time.Time
 }
@@ -48,7 +46,6 @@
 type Book struct {
 	terms Terms
 	hosts hosts
-	epoch time.Time
 	// began is when this book began to count, leads whether all of each quota is its to give out.
 	began    time.Time
 	leads    bool
@@ -74,7 +71,6 @@
 
 // Begin begins to count anew, as the leader or without one.
 func (b *Book) Begin(now time.Time, leads bool) {
-	b.epoch = now
 	b.began = now
 	b.leads = leads
 	b.accounts = make(map[hingeids.CallerID]*account)
@@ -146,8 +142,7 @@
 	}
 	if !o.ever {
 		o.ever = true
-		o.knows = min(knows, b.terms.Window)
-		b.known += o.knows
+		b.known += min(knows, b.terms.Window)
 		b.everTold++
 	}
 }
@@ -161,7 +156,7 @@
 
 // since is a time as uses have it.
 func (b *Book) since(now time.Time) int64 {
-	return int64(now.Sub(b.epoch))
+	return int64(now.Sub(b.began))
 }
 
 func (b *Book) account(c hingeids.CallerID) *account {
