Tell requests by a print in the lines, and servers that ended from connections that were cut

A request's print is made of its customer, method, host, path with query and body, so that each attempt with the same has the same print; requestPlaced and serverFailedRequest carry it. Where the other end broke an exchange off, its address is dialled once more: refused means that the server is gone, told by serverEnded (118) with the print and how long the server had the request. swifthinge account lists the requests under which several servers ended.

No decision changes.

--- a/internal/core/hingeids/ids.go
+++ b/internal/core/hingeids/ids.go
@@ -4,6 +4,7 @@
 package hingeids
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -59,6 +60,34 @@
 // CallerID names the customer on whose behalf a request is made.
 type CallerID string
 
+// Print tells one request from another, over all attempts, hosts and clients: whoever sends the same again sends the
+// same print. Zero is no print.
+type Print uint64
+
+// String writes a print as log lines and operators name it.
+func (p Print) String() string {
+	if p == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", uint64(p))
+}
+
+// MarshalText writes a print as String does.
+func (p Print) MarshalText() ([]byte, error) {
+	return []byte(p.String()), nil
+}
+
+// UnmarshalText reads what MarshalText wrote.
+func (p *Print) UnmarshalText(b []byte) error {
+	if len(b) == 0 {
+		*p = 0
+		return nil
+	}
+	n, err := strconv.ParseUint(string(b), 16, 64)
+	*p = Print(n)
+	return eris.Wrap(err, "print of a request")
+}
+
 // IdempotencyKey is the caller's name for one request that must run at most once.
 type IdempotencyKey string
 
--- a/internal/observe/hingeaccount/account.go
+++ b/internal/observe/hingeaccount/account.go
@@ -79,6 +79,20 @@
 	// fills are the predicted fills of the engines that streams were placed on, by second.
 	fills map[int64]fill
 	waste map[string]int64
+	// ends are the servers that ended under requests, by print.
+	ends map[hingeids.Print]*Ends
+}
+
+// Ends are the servers that ended under one request, over all its attempts.
+type Ends struct {
+	Print    hingeids.Print
+	Customer hingeids.CallerID
+	Route    string
+	// Servers are those that ended, First and Last when the first and the last did.
+	Servers     map[hingeids.ServerID]bool
+	First, Last time.Time
+	// Attempts are the callers' ids of the attempts.
+	Attempts map[string]bool
 }
 
 // fill is the sum of predicted fills, in hundredths.
@@ -94,6 +108,7 @@
 		requests: make(map[string]*Request),
 		fills:    make(map[int64]fill),
 		waste:    make(map[string]int64),
+		ends:     make(map[hingeids.Print]*Ends),
 	}
 }
 
@@ -167,11 +182,36 @@
 	case hingeevents.RequestDenied:
 		r.end(l.At, Denied, verdictOf(l.Fields.Detail))
 		a.Unnamed += l.Fields.Count - 1
+	case hingeevents.ServerEnded:
+		a.ended(l)
 	case hingeevents.CallerGone:
 		r.end(l.At, Gone, "")
 	}
 }
 
+func (a *Account) ended(l hingelines.Line) {
+	e := a.ends[l.Fields.Print]
+	if e == nil {
+		e = &Ends{
+			Print:    l.Fields.Print,
+			Customer: l.Fields.Caller,
+			Route:    l.Fields.Route,
+			Servers:  make(map[hingeids.ServerID]bool),
+			First:    l.At,
+			Attempts: make(map[string]bool),
+		}
+		a.ends[l.Fields.Print] = e
+	}
+	e.Servers[l.Fields.Server] = true
+	e.Attempts[l.Fields.Asked] = true
+	if l.At.Before(e.First) {
+		e.First = l.At
+	}
+	if l.At.After(e.Last) {
+		e.Last = l.At
+	}
+}
+
 func (a *Account) placed(r *Request, l hingelines.Line) {
 	r.stream = true
 	if r.Places == 0 {
--- a/internal/observe/hingeaccount/tables.go
+++ b/internal/observe/hingeaccount/tables.go
@@ -70,6 +70,7 @@
 	}
 	a.writeReasons(&b, list)
 	a.writeWaste(&b)
+	a.writeEnds(&b)
 	_, err := io.WriteString(w, b.String())
 	return eris.Wrap(err, "account")
 }
@@ -147,6 +148,30 @@
 	}
 }
 
+// mostEnds is how many requests the table of servers that ended has: all that ran beside a cause stand in it too.
+const mostEnds = 10
+
+// writeEnds writes the requests under which several servers ended, those with the most first.
+func (a *Account) writeEnds(b *strings.Builder) {
+	list := slices.SortedFunc(maps.Values(a.ends), func(x, y *Ends) int {
+		return cmp.Or(cmp.Compare(len(y.Servers), len(x.Servers)), x.First.Compare(y.First), cmp.Compare(x.Print, y.Print))
+	})
+	list = slices.DeleteFunc(list, func(e *Ends) bool {
+		return len(e.Servers) < 2
+	})
+	if len(list) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "\n%-16s %8s %8s  %-26s %-26s %-16s %s\n", "print", "servers", "attempts", "the first ended", "the last", "customer", "route")
+	for _, e := range list[:min(len(list), mostEnds)] {
+		fmt.Fprintf(b, "%-16s %8d %8d  %-26s %-26s %-16s %s\n", e.Print, len(e.Servers), len(e.Attempts),
+			e.First.Format(endsTime), e.Last.Format(endsTime), e.Customer, e.Route)
+	}
+}
+
+// endsTime is how moments stand in the table of servers that ended.
+const endsTime = "2006-01-02T15:04:05.000Z"
+
 // Plot draws the outcomes over time into a folder.
 func (a *Account) Plot(folder string, every time.Duration) error {
 	list := a.Requests()
--- a/internal/observe/hingeevents/events.go
+++ b/internal/observe/hingeevents/events.go
@@ -53,7 +53,9 @@
 type Fields struct {
 	Request hingeids.RequestID `json:"request,omitzero"`
 	// Asked is the caller's own id of the request, where callers give one.
-	Asked    string            `json:"asked,omitempty"`
+	Asked string `json:"asked,omitempty"`
+	// Print is what the request has in common with all that are sent again.
+	Print    hingeids.Print    `json:"print,omitzero"`
 	Host     hingeids.HostID   `json:"host,omitempty"`
 	Server   hingeids.ServerID `json:"server,omitempty"`
 	Caller   hingeids.CallerID `json:"caller,omitempty"`
--- a/internal/observe/hingeevents/path.go
+++ b/internal/observe/hingeevents/path.go
@@ -20,6 +20,7 @@
 	PromptWasted        Number = 115
 	RequestDenied       Number = 116
 	RequestOverQuota    Number = 117
+	ServerEnded         Number = 118
 )
 
 var pathEntries = []Entry{
@@ -133,4 +134,11 @@
 		Severity: Info,
 		Text:     "A customer asked more than its quota; count is how many requests this line stands for, took the time after which it was told to come back.",
 	},
+	{
+		Number:   ServerEnded,
+		Name:     "serverEnded",
+		Severity: Warning,
+		Text:     "A backend server ended while it had a request: the connection broke, and its address takes none any more; took is how long it had the request.",
+		Do:       "Count such lines by print: one request at the end of several servers is likely their cause.",
+	},
 }
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -64,6 +64,7 @@
 	defer watch.end()
 	r.attempts++
 	r.arrivals++
+	r.sentAt = p.settings.Clock()
 	if err := a.x.Send(r.sent(p.dialect, Sending{
 		Server: at.Decode,
 		Left:   p.left(r.job),
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -155,10 +155,12 @@
 		j.note(verdictOf(err).Verdict)
 		p.settings.Recorder.Record(p.settings.Clock(), hingeevents.ServerFailedRequest, hingeevents.Fields{
 			Asked:  string(j.asked.ID),
+			Print:  j.print,
 			Server: c.Server,
 			Took:   took,
 			Detail: err.Error(),
 		})
+		p.ended(ctx, j, c.Server, c.Address, took, err)
 		return nil, outcome, err
 	}
 	j.note(hingeverdict.Ran)
--- a/internal/path/hingeproxy/prefill.go
+++ b/internal/path/hingeproxy/prefill.go
@@ -19,6 +19,7 @@
 	}
 	one, stop := context.WithTimeout(ctx, prefillTime)
 	defer stop()
+	r.sentAt = p.settings.Clock()
 	x, err := hingewire.Begin(one, address, r.sent(p.dialect, Sending{
 		Server:  id,
 		Left:    p.left(r.job),
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -190,6 +190,8 @@
 	route *hingeroutes.Route
 	// customer is whose request it is; nil if nobody's.
 	customer *hingecustomers.Customer
+	// print is what it has in common with all that are sent again.
+	print hingeids.Print
 	// charge is what it counts for its customer's quota, counted says that it does.
 	charge   hingequota.Charge
 	counted  bool
@@ -233,6 +235,7 @@
 		asked:    asked,
 		route:    route,
 		customer: a.customer,
+		print:    printOf(r, a.customer),
 		charge:   p.chargeOf(a, asked),
 		service:  route.Service(string(asked.ID)),
 		writer:   w,
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -39,6 +39,8 @@
 	avoid  []hingeids.ServerID
 	// waitsSince is when the caller got its last event, or asked.
 	waitsSince time.Time
+	// sentAt is when the engine that was asked last got its message.
+	sentAt time.Time
 	// read is how long the prompt was with the engine that prefilled it.
 	read time.Duration
 	// begunAt is the engine that sent an event last.
@@ -187,7 +189,7 @@
 	}
 	if err != nil {
 		ahead.close()
-		p.blame(r, placed, placed.Prefill, err)
+		p.blame(ctx, r, placed, placed.Prefill, err)
 		return err
 	}
 	if placed.Prefill != "" {
@@ -203,7 +205,7 @@
 			return nil
 		}
 		if context.Cause(ctx) == nil {
-			p.blame(r, placed, placed.Decode, err)
+			p.blame(ctx, r, placed, placed.Decode, err)
 		}
 		if cache == (Cache{}) || ctx.Err() != nil || p.settings.Clock().Sub(done) > r.engine.HandleTime/2 ||
 			!p.mayTransfer(r, err) {
@@ -242,6 +244,14 @@
 	stream *hingeplacer.Stream
 }
 
+// address gives where one of the engines is.
+func (p placement) address(id hingeids.ServerID) string {
+	if id == p.Prefill {
+		return p.PrefillAt
+	}
+	return p.DecodeAt
+}
+
 // place asks for engines; for a decode engine alone if the prompt's KV cache is there.
 func (p *Proxy) place(ctx context.Context, r *run, cached bool) (placement, *hingeverdict.Error) {
 	w := p.want(r)
@@ -256,6 +266,7 @@
 	r.counted = true
 	p.settings.Recorder.Record(p.settings.Clock(), hingeevents.RequestPlaced, hingeevents.Fields{
 		Asked:  string(r.asked.ID),
+		Print:  r.print,
 		Server: placed.Decode,
 		Took:   placed.Waited,
 		Count:  int64(placed.Peak),
@@ -278,11 +289,13 @@
 }
 
 // blame keeps the rest of a request, and for a while other requests, away from an engine.
-func (p *Proxy) blame(r *run, at placement, id hingeids.ServerID, err *hingeverdict.Error) {
+func (p *Proxy) blame(ctx context.Context, r *run, at placement, id hingeids.ServerID, err *hingeverdict.Error) {
 	r.avoid = append(slices.Clip(r.avoid), id)
 	now := p.settings.Clock()
+	p.ended(ctx, r.job, id, at.address(id), now.Sub(r.sentAt), err)
 	p.settings.Recorder.Record(now, hingeevents.ServerFailedRequest, hingeevents.Fields{
 		Asked:  string(r.asked.ID),
+		Print:  r.print,
 		Server: id,
 		Took:   now.Sub(r.Arrived),
 		Detail: err.Error(),
