--- a/cmd/swifthinge-soak/main.go
+++ b/cmd/swifthinge-soak/main.go
@@ -52,6 +52,10 @@
 				Usage: "how many entry hosts",
 				Value: 3,
 			},
+			&cli.IntFlag{
+				Name:  "poison",
+				Usage: "how many requests end each server that runs them, and come again and again",
+			},
 			&cli.DurationFlag{
 				Name:  "lasts",
 				Usage: "how long faults are injected for each seed",
@@ -77,13 +81,14 @@
 			Controls: c.Int("controls"),
 			Entries:  c.Int("entries"),
 			Lasts:    c.Duration("lasts"),
+			Poison:   c.Int("poison"),
 			Out:      os.Stdout,
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
-		fmt.Printf("seed %d: asked %d, answered %d, refused %d, changes %d, faults %d, broken %d\n",
-			seed, r.Asked, r.Answered, r.Refused, r.Changes, r.Faults, len(r.Broken))
+		fmt.Printf("seed %d: asked %d, answered %d, refused %d, changes %d, faults %d, servers ended %d, broken %d\n",
+			seed, r.Asked, r.Answered, r.Refused, r.Changes, r.Faults, r.Ended, len(r.Broken))
 		for _, b := range r.Broken {
 			broken = true
 			fmt.Printf("BROKEN %s at %v: request %q: %s\n", b.Promise, b.At, b.ID, b.Detail)
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -227,6 +228,8 @@
 // world is a fleet of stand-ins.
 type world struct {
 	table    hingeboard.Cell[hingeroutes.Table]
+	placers  []hingeids.HostID
+	mu       sync.Mutex
 	standins []*standin
 	// gone are servers that are known to take no more work.
 	gone map[hingeids.ServerID]bool
@@ -234,6 +237,20 @@
 	newest func(ctx context.Context) bool
 }
 
+// servers are the stand-ins there are now.
+func (w *world) servers() []*standin {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.standins)
+}
+
+// replace puts a new server in the place of one that has ended.
+func (w *world) replace(old, by *standin) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.standins[slices.Index(w.standins, old)] = by
+}
+
 func (w *world) set(t *hingeroutes.Table) { w.table.Store(t) }
 
 func (w *world) Table() *hingeroutes.Table { return w.table.Load() }
@@ -249,11 +266,11 @@
 
 func (w *world) Quota(c hingeids.CallerID) hingecustomers.Quota { return w.Table().Quota(c) }
 
-func (w *world) Placers() []hingeids.HostID { return nil }
+func (w *world) Placers() []hingeids.HostID { return w.placers }
 
 func (w *world) Replicas() map[hingeids.Service][]hingebalance.Replica {
 	var out []hingebalance.Replica
-	for _, x := range w.standins {
+	for _, x := range w.servers() {
 		if x.kind == 0 {
 			out = append(out, hingebalance.Replica{
 				Server:  x.id,
@@ -271,7 +288,7 @@
 func (w *world) Version() string { return "1/00000000" }
 
 func (w *world) Address(id hingeids.ServerID) (string, bool) {
-	for _, x := range w.standins {
+	for _, x := range w.servers() {
 		if x.id == id {
 			return x.listener.Addr().String(), true
 		}
@@ -281,7 +298,7 @@
 
 func (w *world) Engines() map[hingeids.Service][]hingefleet.Engine {
 	var out []hingefleet.Engine
-	for _, x := range w.standins {
+	for _, x := range w.servers() {
 		if x.kind != 0 {
 			out = append(out, hingefleet.Engine{
 				Server: x.id,
@@ -363,11 +380,52 @@
 		standins: standins,
 	}
 	w.set(routes())
+	return newDoorAt(t, w, hingefake.NewNetwork(), "entry-1")
+}
+
+// control is a control host that knows what the entry hosts know, and places for them.
+type control struct {
+	*world
+}
+
+func (control) Leads() bool { return true }
+
+// newDoors makes entry hosts for which a control host places.
+func newDoors(t *testing.T, n int, standins ...*standin) []*door {
+	t.Helper()
+	w := &world{
+		standins: standins,
+		placers:  []hingeids.HostID{"control-1"},
+	}
+	w.set(routes())
 	network := hingefake.NewNetwork()
-	owner := hingeplacer.NewOwner("entry-1", network.Link("entry-1"), w, time.Now, nil, hingequota.StandardTerms)
+	placer := hingeplacer.New(control{
+		world: w,
+	}, func() bool {
+		return true
+	}, time.Now, hingequota.StandardTerms)
+	placer.Handle(network.Link("control-1"), nil)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		_ = placer.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-placer.Done()
+	})
+	var out []*door
+	for i := range n {
+		out = append(out, newDoorAt(t, w, network, hingeids.HostID(fmt.Sprint("entry-", i+1))))
+	}
+	return out
+}
+
+func newDoorAt(t *testing.T, w *world, network *hingefake.Network, host hingeids.HostID) *door {
+	t.Helper()
+	owner := hingeplacer.NewOwner(host, network.Link(host), w, time.Now, nil, hingequota.StandardTerms)
 	p := New(Settings{
 		Self: hingeids.Life{
-			Host:        "entry-1",
+			Host:        host,
 			Incarnation: 1,
 		},
 		Budget: Budget{
--- a/internal/soak/hingesoak/book.go
+++ b/internal/soak/hingesoak/book.go
@@ -6,6 +6,21 @@
 	"time"
 )
 
+// poison is what is known of a request that ends servers.
+type poison struct {
+	// ended counts the servers that ended under it, late those later than contactTime after the third of them.
+	ended int
+	late  int
+	third time.Time
+}
+
+// The users' bound: once a request has ended three servers and all hosts had time to hear of it, three more servers may run it.
+const (
+	mostEnded   = 3
+	mostLate    = 3
+	contactTime = 3 * time.Second
+)
+
 // entry is what is known of one request.
 type entry struct {
 	once bool
@@ -20,6 +35,7 @@
 
 	mu       sync.Mutex
 	requests map[string]*entry
+	poisons  map[string]*poison
 	acked    uint64
 	result   Report
 }
@@ -28,6 +44,30 @@
 	return &book{
 		began:    began,
 		requests: make(map[string]*entry),
+		poisons:  make(map[string]*poison),
+	}
+}
+
+// ends notes that a server ends under a request, by its path.
+func (b *book) ends(path, server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.poisons[path]
+	if p == nil {
+		p = &poison{}
+		b.poisons[path] = p
+	}
+	b.result.Ended++
+	p.ended++
+	if p.ended == mostEnded {
+		p.third = time.Now()
+	}
+	if p.ended <= mostEnded || time.Since(p.third) < contactTime {
+		return
+	}
+	p.late++
+	if p.late > mostLate {
+		b.note("stops a request that ends servers", path, fmt.Sprintf("%s is the %dth that ended", server, p.ended))
 	}
 }
 
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,31 @@
 	proxy *proxy
 	seq   atomic.Uint64
 	cache atomic.Uint64
+	// life counts its ends; while it is down nothing announces it.
+	life atomic.Uint64
+	down atomic.Bool
+}
+
+// name is the server's name in its present life.
+func (x *server) name() string {
+	return fmt.Sprintf("%s.%d", x.id, x.life.Load())
+}
+
+// downTime is how long a server that ended is away.
+const downTime = 2 * time.Second
+
+// end ends the server under a request; it is back by itself.
+func (x *server) end(path string) {
+	if !x.down.CompareAndSwap(false, true) {
+		return
+	}
+	x.book.ends(path, x.name())
+	x.proxy.shut()
+	time.AfterFunc(downTime, func() {
+		x.life.Add(1)
+		x.proxy.reopen()
+		x.down.Store(false)
+	})
 }
 
 func (s *soak) startServers(ctx context.Context) error {
@@ -71,7 +97,11 @@
 func (x *server) announce(ctx context.Context, f *fleet) {
 	at := int(x.seq.Load())
 	for ctx.Err() == nil {
-		c := wire.Heartbeat(x.id, x.service(), x.proxy.address(), "zone-1", x.stage, x.seq.Add(1))
+		if x.down.Load() {
+			sleepUntil(ctx, time.Now().Add(20*time.Millisecond))
+			continue
+		}
+		c := wire.Heartbeat(x.name(), x.service(), x.proxy.address(), "zone-1", x.stage, x.seq.Add(1))
 		status, _, err := call(ctx, f.controls[at%len(f.controls)].settings.ControlAt, c)
 		if err != nil || status != http.StatusOK {
 			at++
@@ -92,7 +122,7 @@
 func (x *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
 	told := wire.Told(q.Header)
-	if told.Server != "" && told.Server != x.id {
+	if told.Server != "" && told.Server != x.name() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -100,6 +130,8 @@
 	case told.ID == "":
 		// A report is asked for, or a KV cache freed; neither runs anything.
 		w.WriteHeader(http.StatusOK)
+	case strings.Contains(q.URL.Path, poisonPath) && !told.Prefill:
+		x.end(q.URL.Path)
 	case told.Prefill:
 		time.Sleep(20 * time.Millisecond)
 		wire.Answered(w.Header(), told.ID)
@@ -151,8 +183,12 @@
 
 // proxy stands before a stand-in.
 type proxy struct {
+	at string
+	to string
+	// shutting guards the listener, which is closed while the server is down.
+	shutting sync.Mutex
 	listener net.Listener
-	to       string
+	closed   bool
 	mode     atomic.Pointer[mode]
 	conns    sync.Map
 }
@@ -163,24 +199,54 @@
 		return nil, eris.Wrap(err, "proxy")
 	}
 	p := &proxy{
+		at:       l.Addr().String(),
 		listener: l,
 		to:       to,
 	}
 	p.set(pass)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(c)
-		}
-	}()
+	go p.accept(l)
 	return p, nil
 }
 
+func (p *proxy) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+// shut ends the server to the world: all its connections break, and its address refuses others.
+func (p *proxy) shut() {
+	p.shutting.Lock()
+	defer p.shutting.Unlock()
+	_ = p.listener.Close()
+	p.conns.Range(func(c, _ any) bool {
+		abort(c.(net.Conn))
+		return true
+	})
+}
+
+// reopen takes connections again, unless the run is over.
+func (p *proxy) reopen() {
+	p.shutting.Lock()
+	defer p.shutting.Unlock()
+	if p.closed {
+		return
+	}
+	l, err := net.Listen("tcp4", p.at)
+	if err != nil {
+		// It stays away, which the run's end would show.
+		return
+	}
+	p.listener = l
+	go p.accept(l)
+}
+
 func (p *proxy) address() string {
-	return p.listener.Addr().String()
+	return p.at
 }
 
 // set changes the mode; connections that are open get it too.
@@ -204,7 +270,10 @@
 }
 
 func (p *proxy) close() {
+	p.shutting.Lock()
+	p.closed = true
 	_ = p.listener.Close()
+	p.shutting.Unlock()
 	p.set(reset)
 }
 
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -13,6 +13,8 @@
 //  6. Connections to backend servers go through a proxy in the soak, which delays,
 //     resets, cuts one way or silences them. The links between the programs are
 //     disturbed by signals only.
+//  7. A poison request ends each server that runs it; the server is back after some seconds under another name. It comes again
+//     at any entry host, each time under a new id.
 package hingesoak
 
 import (
@@ -39,7 +41,9 @@
 	Entries  int
 	// Lasts is how long faults are injected.
 	Lasts time.Duration
-	Out   io.Writer
+	// Poison is how many requests end each server that runs them, and come again and again.
+	Poison int
+	Out    io.Writer
 }
 
 // Broken is a promise that was broken.
@@ -57,7 +61,9 @@
 	Refused  int
 	Changes  int
 	Faults   int
-	Broken   []Broken
+	// Ended counts the servers that ended under poison requests.
+	Ended  int
+	Broken []Broken
 }
 
 const (
@@ -137,6 +143,11 @@
 			newCaller(s.fleet, s.book, s.options.Seed, i).run(loaded)
 		})
 	}
+	for i := range s.options.Poison {
+		s.load.Go(func() {
+			newPoisoner(s.fleet, s.book, s.options.Seed, i).run(loaded)
+		})
+	}
 	s.load.Go(func() {
 		operator.run(loaded)
 	})
--- a/internal/soak/hingesoak/soak_test.go
+++ b/internal/soak/hingesoak/soak_test.go
@@ -17,12 +17,23 @@
 // Hosts are killed, stopped, frozen and lose their disks one upon the other while
 // callers and operators go on. Each promise that breaks here is one that a user would see broken.
 func TestSeedsKeepThePromises(t *testing.T) {
+	playSeeds(t, "testdata/seeds.txt")
+}
+
+// A request ends each server that runs it and comes again at every host, through the same faults: all servers end one after the
+// other, and with them everybody else's requests.
+func TestSeedsStopRequestsThatEndServers(t *testing.T) {
+	playSeeds(t, "testdata/poison.txt")
+}
+
+func playSeeds(t *testing.T, file string) {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "swifthinge-fleet")
 	build := exec.Command("go", "build", "-buildvcs=false", "-o", program, "github.com/swifthinge/swifthinge/cmd/swifthinge-fleet")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	data, err := os.ReadFile("testdata/seeds.txt")
+	data, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -71,6 +82,8 @@
 			o.Controls = n
 		case "entries":
 			o.Entries = n
+		case "poison":
+			o.Poison = n
 		case "lasts":
 			o.Lasts, _ = time.ParseDuration(value)
 		}
