Find requests that end servers where requests are placed, and refuse them at every host

Cause: a request was known by the id of the attempt only. hingeretry bounds the attempts of one id; nothing was carried from one attempt to the next, nor between hosts. The class: a fault that comes with a request, and a limit that is kept by the identity of the try instead of the work.

Mended: hosts tell whoever places of each server that ended while it had a request, with the questions and reports that go there anyway (hingeplacer rule 7); hingepoison finds the request; it is put on a list in the fleet's log (hingeshared), and all hosts hear of the list as they hear of the configuration (hingefollow rule 9). A new placer hears from each host what that has seen. Refused with 503, code 1013, and the time until it is tried again.

--- a/internal/capacity/hingeplacer/alone.go
+++ b/internal/capacity/hingeplacer/alone.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -10,6 +11,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 )
 
 // ownShare gives the engines, with the share of their memory, that one host may fill alone
@@ -94,6 +96,11 @@
 	return s.fleets.Quota(c)
 }
 
+// Poison gives the record of a request that is refused.
+func (s ownShare) Poison(p hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+	return s.fleets.Poison(p)
+}
+
 // Entries is how many entry hosts there are.
 func (s ownShare) Entries() int {
 	return s.fleets.Entries()
--- a/internal/capacity/hingeplacer/caller.go
+++ b/internal/capacity/hingeplacer/caller.go
@@ -14,6 +14,13 @@
 // PlaceCall asks the placers in turn for a replica, and the own host if none answers (rule 3). The context ends
 // when the caller leaves.
 func (o *Owner) PlaceCall(ctx context.Context, c Call) CallPlacement {
+	if after, refused := o.refuses(c.Print); refused {
+		return CallPlacement{
+			Refused:    true,
+			RetryAfter: after,
+			Cause:      Poison,
+		}
+	}
 	began := o.clock()
 	c.Charge.Doubtful = o.doubts(c.Charge)
 	var placed CallPlacement
--- a/internal/capacity/hingeplacer/calls.go
+++ b/internal/capacity/hingeplacer/calls.go
@@ -125,6 +125,22 @@
 		})
 		return
 	}
+	j := p.judge(now, c.Service, c.Print, c.Ends)
+	switch {
+	case j.Settles:
+		p.settle(func(now time.Time) {
+			c.Ends = nil
+			p.offerCall(now, owner, c, answer)
+		})
+		return
+	case j.Refused:
+		answer(CallPlacement{
+			Refused:    true,
+			RetryAfter: j.RetryAfter,
+			Cause:      Poison,
+		})
+		return
+	}
 	if v := p.admit(now, owner, c.Charge, c.Left); !v.Admitted {
 		answer(CallPlacement{
 			Refused:    true,
@@ -135,9 +151,10 @@
 	}
 	p.calls.came = true
 	p.asking[c.ID] = asker[CallPlacement]{
-		answer: answer,
-		owner:  owner,
-		charge: c.Charge,
+		answer:  answer,
+		owner:   owner,
+		charge:  c.Charge,
+		suspect: j.Suspect,
 	}
 	q.Offer(now, c.wanted(now))
 }
@@ -207,6 +224,7 @@
 	}
 	delete(p.asking, id)
 	p.book.Settle(now, x.owner, x.charge, a.Server != "")
+	a.Suspect = x.suspect
 	x.answer(a)
 }
 
--- a/internal/capacity/hingeplacer/calls_test.go
+++ b/internal/capacity/hingeplacer/calls_test.go
@@ -166,7 +166,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		servers := &counted{}
-		p := New(servers, func() bool {
+		p := New(servers, nil, func() bool {
 			return true
 		}, time.Now, hingequota.StandardTerms)
 		go func() {
--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
@@ -46,6 +47,9 @@
 	Charge hingequota.Charge `cbor:"14,keyasint,omitzero"`
 	// Priority is the customer's or the route's; 0 goes first.
 	Priority int `cbor:"15,keyasint,omitempty"`
+	// Print is the request's, Ends are the servers that ended under this attempt.
+	Print hingeids.Print    `cbor:"16,keyasint,omitempty"`
+	Ends  []hingepoison.End `cbor:"17,keyasint,omitempty"`
 }
 
 func (w Want) wanted(now time.Time, owner hingeids.HostID) hingefleet.Want {
@@ -87,16 +91,20 @@
 	// Short is what there was too little of, where it is refused for want of room.
 	Short hingefleet.Shortage `cbor:"10,keyasint,omitempty"`
 	Cause Cause               `cbor:"13,keyasint,omitempty"`
+	// Suspect says that servers have ended under the request; a whole answer is to be told (Owner.Passed).
+	Suspect bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Cause is why a request is refused.
 type Cause uint8
 
-// The causes: no room; a customer that has used its quota; a quota of which whoever decides doesn't know enough.
+// The causes: no room; a customer that has used its quota; a quota of which whoever decides doesn't know enough; a request that
+// ends servers.
 const (
 	NoRoom Cause = iota
 	OverQuota
 	QuotaUnknown
+	Poison
 )
 
 // causeOf is the cause of a refusal for a quota.
@@ -124,6 +132,9 @@
 	Knows time.Duration    `cbor:"6,keyasint,omitempty"`
 	// Returned are requests that were counted and have not run.
 	Returned []hingequota.Charge `cbor:"7,keyasint,omitempty"`
+	// Ends are servers that ended under requests, Passes suspected requests that were answered whole, of which the placer hasn't been told.
+	Ends   []hingepoison.End  `cbor:"8,keyasint,omitempty"`
+	Passes []hingepoison.Pass `cbor:"9,keyasint,omitempty"`
 }
 
 // reported is the answer to a report.
@@ -151,6 +162,9 @@
 	Charge hingequota.Charge `cbor:"8,keyasint,omitzero"`
 	// Priority is the customer's or the route's; 0 goes first.
 	Priority int `cbor:"9,keyasint,omitempty"`
+	// Print is the request's, Ends are the servers that ended under this attempt.
+	Print hingeids.Print    `cbor:"10,keyasint,omitempty"`
+	Ends  []hingepoison.End `cbor:"11,keyasint,omitempty"`
 }
 
 // after gives the call as it is when some of its time has passed.
@@ -185,6 +199,8 @@
 	// Alone says that the own host chose without the others' requests in sight.
 	Alone bool  `cbor:"5,keyasint,omitempty"`
 	Cause Cause `cbor:"8,keyasint,omitempty"`
+	// Suspect says that servers have ended under the request; a whole answer is to be told (Owner.Passed).
+	Suspect bool `cbor:"9,keyasint,omitempty"`
 }
 
 // callPlaced is a placement as it travels.
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -12,6 +12,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
@@ -58,6 +59,8 @@
 	// expected are the questions for replicas whose answers haven't come.
 	expected map[hingequeue.CallID]chan<- CallPlacement
 	quotas   ownQuotas
+	// ends are the servers that ended under this host's requests.
+	ends hingepoison.Ledger
 	// answered is the placer that answered last.
 	answered hingeids.HostID
 }
@@ -94,7 +97,7 @@
 	o.alone = New(ownShare{
 		self:   self,
 		fleets: f,
-	}, func() bool {
+	}, nil, func() bool {
 		return true
 	}, clock, t)
 	return o
@@ -107,6 +110,13 @@
 
 // Place asks for engines until there is a decision. The context ends when the caller leaves.
 func (o *Owner) Place(ctx context.Context, w Want) Placement {
+	if after, refused := o.refuses(w.Print); refused {
+		return Placement{
+			Refused:    true,
+			RetryAfter: after,
+			Cause:      Poison,
+		}
+	}
 	began := o.clock()
 	waited := w.Waited
 	for ctx.Err() == nil {
@@ -321,11 +331,11 @@
 }
 
 func (o *Owner) report(ctx context.Context) {
-	r := o.whole()
+	h := o.reportTo()
+	r := o.whole(h)
 	o.alone.post(ctx, func(now time.Time) {
 		o.alone.take(now, o.self, r)
 	})
-	h := o.reportTo()
 	if h == "" {
 		return
 	}
@@ -338,6 +348,7 @@
 	}
 	// A report that is lost is made good by the next one, within half a second.
 	o.reported(r, a, err)
+	o.toldEnds(h, r, a, err)
 }
 
 // first gives the host that is asked first, if any.
@@ -348,7 +359,7 @@
 	return list[0]
 }
 
-func (o *Owner) whole() report {
+func (o *Owner) whole(to hingeids.HostID) report {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.sequence++
@@ -359,6 +370,7 @@
 	}
 	o.notes = nil
 	o.quotas.fill(o.clock(), &r)
+	r.Ends, r.Passes = o.ends.Untold(o.clock(), to)
 	for _, s := range o.streams {
 		r.Streams[s.service] = append(r.Streams[s.service], s.progress)
 	}
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -19,6 +19,8 @@
 //     host learns of a replica, and what it has sent there, is known to all with the next request.
 //  6. It counts what customers use of their quotas (hingequota), with the question that is asked anyway. Each owner keeps
 //     what its own requests have used, and tells a placer that doesn't know it.
+//  7. It finds the requests that end servers (hingepoison), with the questions and reports that come anyway. Each owner keeps
+//     the ends that it has seen, and tells them to another placer too.
 package hingeplacer
 
 import (
@@ -33,6 +35,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
@@ -65,18 +68,29 @@
 	Quota(c hingeids.CallerID) hingecustomers.Quota
 	// Entries is how many entry hosts there are.
 	Entries() int
+	// Poison gives the record of a request that is refused, as it was agreed on, and how long it still is.
+	Poison(p hingeids.Print) (r hingepoison.Record, wait time.Duration, listed bool)
 	// Leads reports whether this host was elected to place for all, rather than to place while nobody leads.
 	Leads() bool
 }
 
+// Agreement keeps the list of the requests that end servers. Its methods wait for nothing.
+type Agreement interface {
+	// Agree has a record put on the list, Acquit has a request taken off.
+	Agree(r hingepoison.Record)
+	Acquit(p hingeids.Print)
+}
+
 // Placer places streams while Leads says so.
 type Placer struct {
 	servers Servers
-	leads   func() bool
-	clock   func() time.Time
-	demands hingeboard.Cell[map[hingeids.Service]hingefleet.Demand]
-	inbox   chan func(now time.Time)
-	done    chan struct{}
+	// agreement is nil on a host that can't have anything agreed on: it tells the next placer what it has seen.
+	agreement Agreement
+	leads     func() bool
+	clock     func() time.Time
+	demands   hingeboard.Cell[map[hingeids.Service]hingefleet.Demand]
+	inbox     chan func(now time.Time)
+	done      chan struct{}
 
 	fleets   map[hingeids.Service]*hingefleet.Fleet
 	waiting  map[hingefleet.StreamID]asker[Placement]
@@ -92,6 +106,13 @@
 	// book counts what customers use of their quotas; it is swept at sweepAt.
 	book    *hingequota.Book
 	sweepAt time.Time
+	// poisons finds requests that end servers; agreedAt is when each was last to be agreed on.
+	poisons  *hingepoison.Book
+	agreedAt map[hingeids.Print]time.Time
+	told     []toldEnd
+	// today gives the time of day, by which all hosts read the list.
+	today    func() time.Time
+	recorder *hingeevents.Recorder
 }
 
 // asker is who waits for a placement.
@@ -100,27 +121,34 @@
 	owner  hingeids.HostID
 	// charge is what the request counts for its customer's quota while it waits, and for good once it is placed.
 	charge hingequota.Charge
+	// suspect says that servers have ended under the request.
+	suspect bool
 }
 
-// New makes a placer.
-func New(s Servers, leads func() bool, clock func() time.Time, t hingequota.Terms) *Placer {
+// New makes a placer; a is nil if its host can't have anything agreed on.
+func New(s Servers, a Agreement, leads func() bool, clock func() time.Time, t hingequota.Terms) *Placer {
 	return &Placer{
-		servers:  s,
-		leads:    leads,
-		clock:    clock,
-		inbox:    make(chan func(now time.Time), inboxSize),
-		done:     make(chan struct{}),
-		fleets:   make(map[hingeids.Service]*hingefleet.Fleet),
-		waiting:  make(map[hingefleet.StreamID]asker[Placement]),
-		sequence: make(map[hingeids.HostID]uint64),
-		queues:   make(map[hingeids.Service]*hingequeue.Queue),
-		asking:   make(map[hingequeue.CallID]asker[CallPlacement]),
-		book:     hingequota.NewBook(t),
+		servers:   s,
+		agreement: a,
+		leads:     leads,
+		clock:     clock,
+		inbox:     make(chan func(now time.Time), inboxSize),
+		done:      make(chan struct{}),
+		fleets:    make(map[hingeids.Service]*hingefleet.Fleet),
+		waiting:   make(map[hingefleet.StreamID]asker[Placement]),
+		sequence:  make(map[hingeids.HostID]uint64),
+		queues:    make(map[hingeids.Service]*hingequeue.Queue),
+		asking:    make(map[hingequeue.CallID]asker[CallPlacement]),
+		book:      hingequota.NewBook(t),
+		poisons:   hingepoison.NewBook(),
+		agreedAt:  make(map[hingeids.Print]time.Time),
+		today:     time.Now,
 	}
 }
 
 // Handle sets the handlers of other hosts' calls.
 func (p *Placer) Handle(link hingelink.Link, recorder *hingeevents.Recorder) {
+	p.recorder = recorder
 	link.HandleCall(methodPlace, func(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
 		var w Want
 		if err := cbor.Unmarshal(body, &w); err != nil {
@@ -317,6 +345,22 @@
 		})
 		return
 	}
+	j := p.judge(now, w.Service, w.Print, w.Ends)
+	switch {
+	case j.Settles:
+		p.settle(func(now time.Time) {
+			w.Ends = nil
+			p.offer(now, owner, w, answer)
+		})
+		return
+	case j.Refused:
+		answer(Placement{
+			Refused:    true,
+			RetryAfter: j.RetryAfter,
+			Cause:      Poison,
+		})
+		return
+	}
 	if v := p.admit(now, owner, w.Charge, w.Left); !v.Admitted {
 		answer(Placement{
 			Refused:    true,
@@ -327,9 +371,10 @@
 	}
 	p.streams.came = true
 	p.waiting[w.ID] = asker[Placement]{
-		answer: answer,
-		owner:  owner,
-		charge: w.Charge,
+		answer:  answer,
+		owner:   owner,
+		charge:  w.Charge,
+		suspect: j.Suspect,
 	}
 	p.fleet(w.Service).Offer(now, w.wanted(now, owner))
 }
@@ -354,6 +399,7 @@
 // take brings an owner's report in. An older one that was overtaken is passed over.
 func (p *Placer) take(now time.Time, owner hingeids.HostID, r report) reported {
 	answer := p.takeUses(now, owner, r)
+	p.takeEnds(now, r)
 	if r.Sequence < p.sequence[owner] {
 		return answer
 	}
@@ -442,6 +488,7 @@
 	}
 	delete(p.waiting, id)
 	p.book.Settle(now, x.owner, x.charge, a.Decode != "")
+	a.Suspect = x.suspect
 	x.answer(a)
 }
 
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -14,6 +14,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
 )
@@ -76,6 +77,11 @@
 	}
 }
 
+// Poison knows of no request that is refused.
+func (engines) Poison(hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+	return hingepoison.Record{}, 0, false
+}
+
 func (engines) Entries() int { return 2 }
 
 func (engines) Leads() bool { return true }
@@ -111,7 +117,7 @@
 			leads := &atomic.Bool{}
 			leads.Store(h == "control-1")
 			b.leads[h] = leads
-			p := New(engines{}, leads.Load, time.Now, hingequota.StandardTerms)
+			p := New(engines{}, nil, leads.Load, time.Now, hingequota.StandardTerms)
 			p.Handle(b.network.Link(h), nil)
 			done = append(done, p.Done())
 			go func() {
@@ -329,7 +335,7 @@
 // of all prompts.
 func TestEndOfPrefillCountsBesideItsFirstEvent(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	p := New(slowPrefill{}, func() bool {
+	p := New(slowPrefill{}, nil, func() bool {
 		return true
 	}, nil, hingequota.StandardTerms)
 	p.step(now)
--- a/internal/capacity/hingeplacer/quotas.go
+++ b/internal/capacity/hingeplacer/quotas.go
@@ -29,6 +29,7 @@
 	if !now.Before(p.sweepAt) {
 		p.sweepAt = now.Add(idleEvery)
 		p.book.Step(now)
+		p.stepPoisons(now)
 	}
 }
 
--- a/internal/core/hingeverdict/codes.go
+++ b/internal/core/hingeverdict/codes.go
@@ -15,6 +15,7 @@
 	CodeMethodNotAllowed   Code = 1010
 	CodeNoRoute            Code = 1011
 	CodeNoCustomer         Code = 1012
+	CodePoison             Code = 1013
 	CodeQueueFull          Code = 2001
 	CodeTargetOutOfReach   Code = 2002
 	CodeDeadline           Code = 2003
--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -26,6 +26,7 @@
 //     or configuration is told at once.
 //  8. What the configuration lacks is not denied by a follower that may be behind: it asks first whether
 //     there is a newer one, which a control host confirms by asking the leader.
+//  9. The list of the requests that end servers goes the same way, at once and whole: it is short, and changes a few times a day.
 package hingefollow
 
 import (
@@ -41,6 +42,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 )
@@ -94,6 +96,8 @@
 	Brief bool `cbor:"6,keyasint,omitempty"`
 	// Once says that the follower asks this host for rule 8, and doesn't follow it.
 	Once bool `cbor:"7,keyasint,omitempty"`
+	// Poisons is the revision of the list held (rule 9).
+	Poisons uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // named is a control host as others name it.
@@ -119,11 +123,15 @@
 	InTouch bool          `cbor:"9,keyasint,omitempty"`
 	Term    uint64        `cbor:"10,keyasint,omitempty"`
 	Zone    hingeids.Zone `cbor:"11,keyasint,omitempty"`
+	// Poisons is the list of the requests that end servers, if it is newer than the follower's.
+	Poisons *hingepoison.List `cbor:"16,keyasint,omitempty"`
 }
 
 // State is what a follower knows; nobody changes it.
 type State struct {
 	Document hingeversion.Document
+	// Poisons are the requests that end servers.
+	Poisons hingepoison.List
 	// Ready is rule 4.
 	Ready bool
 	// Leader is the control host that leads, as heard last, in its term.
@@ -260,6 +268,7 @@
 		Life:    h.life,
 		Change:  h.change,
 		Version: s.Document.Version,
+		Poisons: s.Poisons.Revision,
 		Fresh:   !s.Ready,
 		Entry:   f.settings.Entry,
 		Brief:   s.Ready && !h.first && !h.behind,
@@ -302,6 +311,9 @@
 	if a.Document != nil && a.Document.Version > next.Document.Version {
 		next.Document = *a.Document
 	}
+	if a.Poisons != nil && a.Poisons.Revision > next.Poisons.Revision {
+		next.Poisons = *a.Poisons
+	}
 	// What a host that hears no leader says of control hosts may be old.
 	if a.InTouch {
 		next.HeardAt = now
--- a/internal/membership/hingefollow/follow_test.go
+++ b/internal/membership/hingefollow/follow_test.go
@@ -14,6 +14,7 @@
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 )
@@ -21,6 +22,7 @@
 // origin is what a control host of the test knows of the group.
 type origin struct {
 	documents hingeboard.Cell[hingeversion.Document]
+	poisons   hingeboard.Cell[hingepoison.List]
 	mu        sync.Mutex
 	standing  Standing
 	// alone says that no leader can be asked.
@@ -29,6 +31,8 @@
 
 func (o *origin) Documents() *hingeboard.Cell[hingeversion.Document] { return &o.documents }
 
+func (o *origin) Poisons() *hingeboard.Cell[hingepoison.List] { return &o.poisons }
+
 func (o *origin) Standing() Standing {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -143,6 +147,7 @@
 		},
 	}
 	c.documents.Store(&hingeversion.Document{})
+	c.poisons.Store(&hingepoison.List{})
 	c.source = NewSource(hingeids.Life{
 		Host:        h,
 		Incarnation: life,
@@ -561,3 +566,33 @@
 		}
 	})
 }
+
+// A request was found that ends servers. A host that isn't told goes on sending it to them whenever it reaches nobody who places; one
+// that hears an older list afterwards mustn't forget it again.
+func TestListOfPoisonRequestsReachesEveryHost(t *testing.T) {
+	inBubble(t, func(t *testing.T, x *fleet) {
+		x.all["control-1"].accept(1)
+		x.all["control-2"].accept(1)
+		f, _ := x.follow("entry-1", "control-1")
+		time.Sleep(3 * time.Second)
+		older := (&hingepoison.List{}).With(hingepoison.Record{
+			Print: 7,
+		})
+		newer := older.With(hingepoison.Record{
+			Print: 8,
+		})
+		began := time.Now()
+		x.all["control-2"].poisons.Store(newer)
+		for len(f.State().Load().Poisons.Records) == 0 && time.Since(began) < time.Second {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(began); took > 20*time.Millisecond {
+			t.Errorf("it took %v", took)
+		}
+		x.all["control-1"].poisons.Store(older)
+		time.Sleep(3 * time.Second)
+		if diff := cmp.Diff(*newer, f.State().Load().Poisons); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -13,6 +13,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 )
@@ -32,6 +33,8 @@
 type Origin interface {
 	// Documents is where each accepted configuration is published.
 	Documents() *hingeboard.Cell[hingeversion.Document]
+	// Poisons is where the list of the requests that end servers is published.
+	Poisons() *hingeboard.Cell[hingepoison.List]
 	// Read waits until the newest document is no older than any accepted before the call.
 	Read(ctx context.Context) error
 	Standing() Standing
@@ -66,6 +69,8 @@
 	change  uint64
 	held    hingeversion.Version
 	version hingeversion.Version
+	poisons uint64
+	listed  uint64
 	leader  hingeids.HostID
 	term    uint64
 	brief   bool
@@ -196,6 +201,8 @@
 		since:   q.Change,
 		held:    q.Version,
 		version: s.origin.Documents().Load().Version,
+		poisons: q.Poisons,
+		listed:  s.origin.Poisons().Load().Revision,
 		leader:  standing.Leader,
 		term:    standing.Term,
 		brief:   q.Brief,
@@ -256,6 +263,9 @@
 	if d.Version > q.Version && !q.Brief {
 		a.Document = d
 	}
+	if l := s.origin.Poisons().Load(); l.Revision > q.Poisons {
+		a.Poisons = l
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.Change = s.directory.Change()
@@ -314,12 +324,14 @@
 	gathering := false
 	for {
 		documents := s.origin.Documents().Changed()
+		poisons := s.origin.Poisons().Changed()
 		s.mu.Lock()
 		servers := s.changed
 		news := s.directory.Change() > q.Change
 		gather := s.gatherTime(q)
 		s.mu.Unlock()
-		if s.origin.Documents().Load().Version > q.Version || s.origin.Standing().Leader != leader {
+		if s.origin.Documents().Load().Version > q.Version || s.origin.Poisons().Load().Revision > q.Poisons ||
+			s.origin.Standing().Leader != leader {
 			hingeclock.Pause(ctx, leastGather)
 			return
 		}
@@ -330,6 +342,7 @@
 		select {
 		case <-servers:
 		case <-documents:
+		case <-poisons:
 		case <-timer.C:
 			return
 		case <-ctx.Done():
--- a/internal/observe/hingeevents/decisions.go
+++ b/internal/observe/hingeevents/decisions.go
@@ -12,6 +12,10 @@
 	RetryBudgetUsedUp  Number = 707
 	PlacerSilent       Number = 708
 	MessageUnread      Number = 709
+	PoisonFound        Number = 710
+	PoisonTried        Number = 711
+	PoisonAcquitted    Number = 712
+	PoisonNotAgreed    Number = 713
 )
 
 var decisionEntries = []Entry{
@@ -81,4 +85,30 @@
 		Text:     "What another host told of the end of a request can't be read, and is passed over.",
 		Do:       "Look whether both hosts run the same build.",
 	},
+	{
+		Number:   PoisonFound,
+		Name:     "poisonFound",
+		Severity: Warning,
+		Text:     "A request was found to end the servers that run it, and is refused from now on; count is how many ended, detail which and since when.",
+		Do:       "Find its caller by the print in serverEnded lines, and mend what it ends.",
+	},
+	{
+		Number:   PoisonTried,
+		Name:     "poisonTried",
+		Severity: Info,
+		Text:     "A request that ended servers may run once more, to see whether that was mended.",
+	},
+	{
+		Number:   PoisonAcquitted,
+		Name:     "poisonAcquitted",
+		Severity: Info,
+		Text:     "A request that was refused because servers had ended under it was answered whole, and is refused no more.",
+	},
+	{
+		Number:   PoisonNotAgreed,
+		Name:     "poisonNotAgreed",
+		Severity: Warning,
+		Text:     "A request that ends servers could not be put on the list, or taken off, for want of a leader or a disk; it is tried again.",
+		Do:       "Look whether a leader is heard and disks take writes. Until then the request is refused by what hosts have told only.",
+	},
 }
--- a/internal/observe/hingeevents/path.go
+++ b/internal/observe/hingeevents/path.go
@@ -21,6 +21,7 @@
 	RequestDenied       Number = 116
 	RequestOverQuota    Number = 117
 	ServerEnded         Number = 118
+	PoisonRefused       Number = 119
 )
 
 var pathEntries = []Entry{
@@ -141,4 +142,10 @@
 		Text:     "A backend server ended while it had a request: the connection broke, and its address takes none any more; took is how long it had the request.",
 		Do:       "Count such lines by print: one request at the end of several servers is likely their cause.",
 	},
+	{
+		Number:   PoisonRefused,
+		Name:     "poisonRefused",
+		Severity: Info,
+		Text:     "A request that ends servers was refused; count is how many requests this line stands for, took the time after which it may be tried again.",
+	},
 }
--- a/internal/path/hingecaller/refuse.go
+++ b/internal/path/hingecaller/refuse.go
@@ -19,6 +19,7 @@
 	hingeverdict.CodeUnknownModel:      fasthttp.StatusNotFound,
 	hingeverdict.CodeUnknownService:    fasthttp.StatusNotFound,
 	hingeverdict.CodeNoCustomer:        fasthttp.StatusUnauthorized,
+	hingeverdict.CodePoison:            fasthttp.StatusServiceUnavailable,
 	hingeverdict.CodeNoCaller:          fasthttp.StatusBadRequest,
 	hingeverdict.CodeKeyMissing:        fasthttp.StatusBadRequest,
 	hingeverdict.CodeKeyOtherBody:      fasthttp.StatusUnprocessableEntity,
--- a/internal/path/hingeproxy/answer.go
+++ b/internal/path/hingeproxy/answer.go
@@ -70,9 +70,13 @@
 
 func (p *Proxy) recordGivenUp(j *job, e *hingeverdict.Error) {
 	p.meter.customer(j.caller(), outcomeOfError(e))
-	if e.Code == hingeverdict.CodeOverQuota {
+	switch e.Code {
+	case hingeverdict.CodeOverQuota:
 		p.overQuota(j, e)
 		return
+	case hingeverdict.CodePoison:
+		p.poisonRefused(j, e)
+		return
 	}
 	now := p.settings.Clock()
 	p.settings.Recorder.Record(now, hingeevents.RequestGivenUp, hingeevents.Fields{
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -127,6 +127,7 @@
 		return hingeverdict.New(hingeverdict.Ran, hingeverdict.CodeServerFailed, 0,
 			eris.Errorf("the engine failed with status %d", x.Answer.StatusCode))
 	}
+	p.passed(r.job)
 	p.deliver(r.job, &whole{
 		server:   id,
 		response: x.Answer,
--- a/internal/path/hingeproxy/meter.go
+++ b/internal/path/hingeproxy/meter.go
@@ -50,6 +50,9 @@
 	plain   *metrics.Histogram
 	streams *metrics.Histogram
 	first   *metrics.Histogram
+	// poisons counts the requests refused because they end servers, ends the servers that ended under a request.
+	poisons *metrics.Counter
+	ends    *metrics.Counter
 }
 
 func newMeter() *meter {
@@ -60,6 +63,8 @@
 		plain:   s.NewHistogram("swifthinge_plain_answer_seconds"),
 		streams: s.NewHistogram("swifthinge_stream_seconds"),
 		first:   s.NewHistogram("swifthinge_first_event_seconds"),
+		poisons: s.NewCounter("swifthinge_poison_refused_total"),
+		ends:    s.NewCounter("swifthinge_servers_ended_total"),
 	}
 }
 
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -60,6 +60,9 @@
 			p.callerLeft(j)
 			return
 		}
+		if err == nil {
+			p.passed(j)
+		}
 		if err == nil && !p.worthRepeating(j, answer) {
 			p.deliver(j, answer)
 			return
@@ -121,7 +124,10 @@
 		Avoid:    avoid,
 		Charge:   j.due(),
 		Priority: j.priority(),
+		Print:    j.print,
+		Ends:     j.ends,
 	})
+	j.suspect = placed.Suspect
 	j.counted = j.counted || placed.Server != ""
 	return id, placed
 }
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -16,6 +16,7 @@
 //     never goes on; whose request it is is told to the server by the router alone.
 //  8. That a route or a key isn't known is final for a caller, who doesn't ask again. It is said only if the configuration
 //     in force here is known to be the newest; until then the caller is told to come back.
+//  9. Whoever places is told of each server that ended while it had a request, and says which requests end servers: they don't run.
 package hingeproxy
 
 import (
@@ -32,6 +33,7 @@
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/decide/hingeretry"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
@@ -160,6 +162,8 @@
 	held int
 	// denials bounds the lines on requests that are denied.
 	denials bounded
+	// poisons bounds the lines on requests that end servers.
+	poisons bounded
 }
 
 var _ hingewire.Handler = (*Proxy)(nil)
@@ -192,6 +196,9 @@
 	customer *hingecustomers.Customer
 	// print is what it has in common with all that are sent again.
 	print hingeids.Print
+	// ends are the servers that ended under this attempt; suspect says that some have, under this or others.
+	ends    []hingepoison.End
+	suspect bool
 	// charge is what it counts for its customer's quota, counted says that it does.
 	charge   hingequota.Charge
 	counted  bool
--- a/internal/path/hingeproxy/quota.go
+++ b/internal/path/hingeproxy/quota.go
@@ -46,6 +46,8 @@
 		return hingeverdict.CodeOverQuota
 	case hingeplacer.QuotaUnknown:
 		return hingeverdict.CodeQuotaUnknown
+	case hingeplacer.Poison:
+		return hingeverdict.CodePoison
 	}
 	return noRoom
 }
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -24,6 +24,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
@@ -266,6 +267,10 @@
 
 func (w *world) Quota(c hingeids.CallerID) hingecustomers.Quota { return w.Table().Quota(c) }
 
+func (w *world) Poison(hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+	return hingepoison.Record{}, 0, false
+}
+
 func (w *world) Placers() []hingeids.HostID { return w.placers }
 
 func (w *world) Replicas() map[hingeids.Service][]hingebalance.Replica {
@@ -401,7 +406,7 @@
 	network := hingefake.NewNetwork()
 	placer := hingeplacer.New(control{
 		world: w,
-	}, func() bool {
+	}, nil, func() bool {
 		return true
 	}, time.Now, hingequota.StandardTerms)
 	placer.Handle(network.Link("control-1"), nil)
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -84,6 +84,7 @@
 }
 
 func (p *Proxy) streamed(r *run) {
+	p.passed(r.job)
 	now := p.settings.Clock()
 	p.meter.customer(r.caller(), outcomeAnswered)
 	p.meter.streamed(now.Sub(r.Arrived), r.relay.firstAt.Sub(r.Arrived))
@@ -123,7 +124,8 @@
 // moveOn decides whether another attempt is made.
 func (p *Proxy) moveOn(r *run, err *hingeverdict.Error) bool {
 	switch err.Code {
-	case hingeverdict.CodeNoRoom, hingeverdict.CodeDeadline, hingeverdict.CodeOverQuota, hingeverdict.CodeQuotaUnknown:
+	case hingeverdict.CodeNoRoom, hingeverdict.CodeDeadline, hingeverdict.CodeOverQuota, hingeverdict.CodeQuotaUnknown,
+		hingeverdict.CodePoison:
 		return false
 	}
 	if r.relay.begun {
@@ -152,6 +154,8 @@
 		Avoid:    r.avoid,
 		Charge:   r.due(),
 		Priority: r.priority(),
+		Print:    r.print,
+		Ends:     r.ends,
 	}
 }
 
@@ -264,6 +268,7 @@
 		return placement{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, shortestRetry, nil)
 	}
 	r.counted = true
+	r.suspect = placed.Suspect
 	p.settings.Recorder.Record(p.settings.Clock(), hingeevents.RequestPlaced, hingeevents.Fields{
 		Asked:  string(r.asked.ID),
 		Print:  r.print,
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -19,6 +19,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
+	"github.com/swifthinge/swifthinge/internal/agreement/hingeshared"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeorders"
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeplacer"
@@ -80,7 +81,7 @@
 type Control struct {
 	options  Options
 	link     *hingelink.QUIC
-	machine  *hingeversion.Machine
+	machine  *hingeshared.Machine
 	group    *hingegroup.Group
 	source   *hingefollow.Source
 	follower *hingefollow.Follower
@@ -94,6 +95,8 @@
 	// entries is how many entry hosts there were when they were last counted: the placer asks for it with each report, and must not wait for
 	// the lock of whoever answers hundreds of followers.
 	entries atomic.Int64
+	// changes are those of the list of requests that end servers which wait to be agreed on.
+	changes chan hingeshared.Change
 	// refusals are the announcements that weren't taken.
 	refusals refusals
 	done     chan struct{}
@@ -103,7 +106,8 @@
 func New(ctx context.Context, o Options) (*Control, error) {
 	c := &Control{
 		options: o,
-		machine: hingeversion.New(),
+		machine: hingeshared.New(),
+		changes: make(chan hingeshared.Change, listQueue),
 		done:    make(chan struct{}),
 	}
 	c.world.Store(hingeworld.Build(nil, nil))
@@ -123,7 +127,7 @@
 			c.source.Merge(now, records)
 		},
 	}, c.link, o.Seeds)
-	c.placer = hingeplacer.New(c, c.places, hingeclock.Boot, o.Quotas)
+	c.placer = hingeplacer.New(c, c, c.places, hingeclock.Boot, o.Quotas)
 	c.placer.Handle(c.link, c.options.Recorder)
 	c.roles = newRoles(c, o.Engines(c.Address))
 	return c, nil
@@ -181,7 +185,7 @@
 	defer close(c.done)
 	group, ctx := errgroup.WithContext(ctx)
 	for _, part := range []func(context.Context) error{
-		c.link.Run, c.group.Run, c.follower.Run, c.placer.Run, c.step, c.watchLeader, c.watchWorld,
+		c.link.Run, c.group.Run, c.follower.Run, c.placer.Run, c.step, c.watchLeader, c.watchWorld, c.proposeList,
 		c.roles.run, c.roles.orders.Run,
 	} {
 		group.Go(func() error {
--- a/internal/serve/hingefront/world.go
+++ b/internal/serve/hingefront/world.go
@@ -12,6 +12,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/path/hingeproxy"
 )
 
@@ -84,6 +85,11 @@
 	return f.Table().Quota(c)
 }
 
+// Poison gives the record of a request that is refused, as a control host told it, and how long it still is.
+func (f *Front) Poison(p hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+	return f.follower.State().Load().Poisons.At(time.Now(), p)
+}
+
 // Leads is false: an entry host is elected by nobody.
 func (*Front) Leads() bool {
 	return false
