swifthinge serve: stop requests that end servers too

serve has no placer: each host judges by its own book (hingepoison), and hosts tell each other what they see and find (methodPoison, datagrams of seven facts at most), so that they judge alike; a host that starts asks another what is refused. What decides, the print and the look whether a server has ended are one piece of code for both programs.

Tests besides: TestHostsTellEachOtherOfServersThatEnded, TestHostThatStartsAsksWhatOthersRefuse, TestNewsFitDatagrams.

--- a/internal/path/hingecaller/bench_test.go
+++ b/internal/path/hingecaller/bench_test.go
@@ -20,6 +20,7 @@
 	"github.com/swifthinge/swifthinge/internal/config/hingeinventory"
 	"github.com/swifthinge/swifthinge/internal/config/hingesettings"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 	"github.com/swifthinge/swifthinge/internal/path/hingecaller"
 	"github.com/swifthinge/swifthinge/internal/path/hingedispatch"
@@ -119,6 +120,7 @@
 			Owned:   o,
 			Meter:   o,
 			Cancels: o,
+			Poisons: o,
 			Limits:  limits,
 			Now:     time.Now,
 		},
@@ -388,3 +390,11 @@
 	t.Fatal("no token")
 	return 0
 }
+
+func (o one) Judge(context.Context, hingeids.Print, hingeids.Service) (bool, *hingeverdict.Error) {
+	return false, nil
+}
+
+func (o one) Broke(context.Context, hingedispatch.Broken) {}
+
+func (o one) Passed(hingeids.Print) {}
--- a/internal/path/hingecaller/completion.go
+++ b/internal/path/hingecaller/completion.go
@@ -12,6 +12,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/ledger/hingeledger"
 	"github.com/swifthinge/swifthinge/internal/path/hingedispatch"
 )
@@ -126,6 +127,7 @@
 		Deadline:     deadline,
 		Key:          hingeids.IdempotencyKey(ctx.Request.Header.Peek("Idempotency-Key")),
 		Digest:       hingeledger.DigestOf(fasthttp.MethodPost, path, ctx.PostBody()),
+		Print:        hingepoison.PrintOf(ctx.PostBody(), string(who.name), fasthttp.MethodPost, path),
 	}, c.Stream, nil
 }
 
--- a/internal/path/hingecaller/service.go
+++ b/internal/path/hingecaller/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/path/hingedispatch"
 )
 
@@ -62,6 +63,8 @@
 		Deadline: deadline,
 		Sent:     sent,
 		Answer:   &ctx.Response,
+		Print: hingepoison.PrintOf(sent.Body(), string(who.name), string(sent.Header.Method()),
+			string(sent.RequestURI())),
 	})
 	if err != nil {
 		ctx.Response.Reset()
--- a/internal/path/hingedispatch/answer.go
+++ b/internal/path/hingedispatch/answer.go
@@ -36,6 +36,9 @@
 	resumes  int
 	// refused says that the gate has had the last word.
 	refused bool
+	// suspect says that servers have ended under the request; sentAt is when a server was sent it last.
+	suspect bool
+	sentAt  time.Time
 	// before is the most that earlier exchanges may have done.
 	before hingeverdict.Verdict
 
@@ -215,6 +218,9 @@
 	if err == nil {
 		a.stream.Close()
 		a.stream = nil
+		if a.suspect {
+			d.Poisons.Passed(a.work.Print)
+		}
 		d.Slots.Release(a.exchange, a.decoder)
 		d.Owned.Disown(a.exchange)
 		a.leave(a.next)
--- a/internal/path/hingedispatch/attempt.go
+++ b/internal/path/hingedispatch/attempt.go
@@ -128,6 +128,10 @@
 
 func (a *Answer) placeOnce() error {
 	d := a.dispatcher
+	// Rule 8.
+	if err := a.judge(); err != nil {
+		return err
+	}
 	a.exchange.Attempt++
 	a.entry = Entry{
 		Work:  a.work,
@@ -177,6 +181,7 @@
 	began := d.Now()
 	d.Owned.Own(a.exchange)
 	a.prefillID = a.exchange
+	a.sentAt = d.Now()
 	cache, err := d.Engines.Prefill(a.ctx, t, a.engineWork(), d.Limits.PrefillSilence)
 	if err != nil {
 		a.failed(t, err)
@@ -207,6 +212,7 @@
 	}
 	t, a.decoder = granted, granted
 	d.Owned.Own(a.exchange)
+	a.sentAt = d.Now()
 	stream, err := d.Engines.Decode(a.ctx, t, a.engineWork(), a.cache, a.next, d.Limits.TokenSilence)
 	if err == nil {
 		a.stream = stream
@@ -292,6 +298,7 @@
 		return
 	}
 	a.avoid[t.Server] = true
+	a.broke(t, err)
 	a.dispatcher.Gate.Failed(a.entry, t, err)
 	a.record(hingeevents.ServerFailedRequest, hingeevents.Fields{
 		Server: t.Server,
--- a/internal/path/hingedispatch/dispatch.go
+++ b/internal/path/hingedispatch/dispatch.go
@@ -20,6 +20,7 @@
 //     it is not worked again, though its KV cache may still be sent elsewhere
 //     after a decode engine's proof that it did not begin. Its answer is kept
 //     before it is given.
+//  8. A request that ends the servers which run it doesn't run, whatever id it comes under (hingepoison).
 package hingedispatch
 
 import (
@@ -56,6 +57,8 @@
 	// Key and Digest are for a class that is never to be repeated.
 	Key    hingeids.IdempotencyKey
 	Digest [16]byte
+	// Print is what the request has in common with all that are sent again.
+	Print hingeids.Print
 }
 
 // claim names the work in the ledger.
@@ -150,6 +153,7 @@
 	Cancels  Cancels
 	Owned    Owned
 	Ledger   Ledger
+	Poisons  Poisons
 	Meter    Meter
 	Recorder *hingeevents.Recorder
 	Limits   Limits
--- a/internal/path/hingedispatch/service.go
+++ b/internal/path/hingedispatch/service.go
@@ -27,6 +27,8 @@
 	// Sent is what goes to the replica, Answer what came back.
 	Sent   *fasthttp.Request
 	Answer *fasthttp.Response
+	// Print is what the call has in common with all that are sent again.
+	Print hingeids.Print
 }
 
 // Replicas are the live replicas of plain services.
@@ -54,10 +56,12 @@
 //     answer gets the same one.
 //  3. Any other call is tried again if it did not run, or if its method is
 //     idempotent by the HTTP standard.
+//  4. A call that ends the replicas which run it isn't sent (hingepoison).
 type ServiceDispatcher struct {
 	Client   Caller
 	Replicas Replicas
 	Ledger   Ledger
+	Poisons  Poisons
 	Meter    CallMeter
 	Recorder *hingeevents.Recorder
 	Limits   Limits
@@ -130,13 +134,18 @@
 	avoid := make(map[hingeids.ServerID]bool)
 	var worst error
 	for range d.Limits.Attempts {
-		target, err := d.Replicas.Replica(c.Service, avoid)
-		if err == nil {
-			err = d.Client.Call(ctx, target, c.Sent, c.Answer, c.Deadline.Sub(d.Now()))
-			d.Replicas.Left(target, err)
-			avoid[target.Server] = true
+		suspect, refused := d.Poisons.Judge(ctx, c.Print, c.Service)
+		if refused != nil {
+			if worst == nil {
+				return refused
+			}
+			break
 		}
+		err := d.sendOnce(ctx, c, avoid)
 		if err == nil {
+			if suspect {
+				d.Poisons.Passed(c.Print)
+			}
 			return nil
 		}
 		if worst == nil || hingeverdict.Of(worst) == hingeverdict.NotRun {
@@ -149,6 +158,30 @@
 	return worst
 }
 
+// sendOnce sends a call to one replica.
+func (d *ServiceDispatcher) sendOnce(ctx context.Context, c *Call, avoid map[hingeids.ServerID]bool) error {
+	target, err := d.Replicas.Replica(c.Service, avoid)
+	if err != nil {
+		return err
+	}
+	began := d.Now()
+	err = d.Client.Call(ctx, target, c.Sent, c.Answer, c.Deadline.Sub(began))
+	d.Replicas.Left(target, err)
+	avoid[target.Server] = true
+	if err != nil {
+		d.Poisons.Broke(ctx, Broken{
+			Print:   c.Print,
+			Request: c.Request,
+			Service: c.Service,
+			Caller:  c.Caller,
+			Target:  target,
+			Had:     d.Now().Sub(began),
+			Err:     err,
+		})
+	}
+	return err
+}
+
 func (d *ServiceDispatcher) mayTryAgain(ctx context.Context, c *Call, err error) bool {
 	if ctx.Err() != nil || !d.Now().Before(c.Deadline) {
 		return false
--- a/internal/path/hingeproxy/ended.go
+++ b/internal/path/hingeproxy/ended.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"syscall"
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -14,24 +11,9 @@
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
 )
 
-// endedTime bounds the look whether a server has ended. A host whose process is gone refuses within a round trip.
-const endedTime = 100 * time.Millisecond
-
-// ended looks whether a server that broke off a request has ended, and tells. It is dialled anew: a connection that was cut on
-// its way breaks in the same manner, and to take that for an end would blame a request for the network. One that was to
-// end anyway says nothing.
+// ended looks whether a server that broke off a request has ended, and tells. One that was to end anyway says nothing.
 func (p *Proxy) ended(ctx context.Context, j *job, id hingeids.ServerID, address string, had time.Duration, err error) {
-	if address == "" || !brokeOff(err) || p.world.Gone(id) {
-		return
-	}
-	one, stop := context.WithTimeout(ctx, endedTime)
-	defer stop()
-	x, dialled := hingewire.Dial(one, address)
-	if dialled == nil {
-		x.Close()
-		return
-	}
-	if !errors.Is(dialled, syscall.ECONNREFUSED) {
+	if address == "" || !hingewire.BrokeOff(err) || p.world.Gone(id) || !hingewire.Ended(ctx, address) {
 		return
 	}
 	p.settings.Recorder.Record(p.settings.Clock(), hingeevents.ServerEnded, hingeevents.Fields{
@@ -78,9 +60,3 @@
 		p.owner.Passed(j.print)
 	}
 }
-
-// brokeOff reports whether the other end closed or reset a connection in the middle of an exchange.
-func brokeOff(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
--- a/internal/serve/hingeserver/run.go
+++ b/internal/serve/hingeserver/run.go
@@ -46,6 +46,9 @@
 	g.Go(func() error {
 		return s.orders.driver.Run(control)
 	})
+	g.Go(func() error {
+		return s.poisons.run(control)
+	})
 	s.serveControl(control, g)
 	g.Go(func() error {
 		defer s.stop()
--- a/internal/serve/hingeserver/script_test.go
+++ b/internal/serve/hingeserver/script_test.go
@@ -175,6 +175,8 @@
 			o.PrefillPerToken, _ = time.ParseDuration(value)
 		case "gap":
 			o.TokenGap, _ = time.ParseDuration(value)
+		case "poison":
+			o.Poison = value
 		case "slow":
 			o.PrefillPerToken, _ = time.ParseDuration(value)
 		}
--- a/internal/serve/hingeserver/server.go
+++ b/internal/serve/hingeserver/server.go
@@ -46,6 +46,7 @@
 	settled       time.Time
 	wasReady      bool
 	servers       *hingeboard.Cell[hingeannounce.View]
+	poisons       *poisons
 	loop          *hingeboard.Loop
 	callers       *hingecaller.Server
 	gates         *gates
@@ -96,6 +97,7 @@
 	}
 	s.shared = shared
 	s.servers = shared.members.Servers()
+	s.poisons = s.newPoisons()
 	s.holds = newHolds(s)
 	s.orders = newOrders(s)
 	s.slots = newSlots(s)
@@ -261,6 +263,7 @@
 			Meter:    counts,
 			Cancels:  s.holds,
 			Ledger:   ledger,
+			Poisons:  s.poisons,
 			Recorder: s.recorder,
 			Limits:   hingedispatch.DefaultLimits(),
 			Now:      time.Now,
@@ -272,6 +275,7 @@
 				load:   newInFlight(),
 			},
 			Ledger:   ledger,
+			Poisons:  s.poisons,
 			Meter:    counts,
 			Recorder: s.recorder,
 			Limits:   hingedispatch.DefaultLimits(),
--- a/internal/standin/hingestandin/decode.go
+++ b/internal/standin/hingestandin/decode.go
@@ -104,6 +104,9 @@
 	s.count(func(c *Counts) {
 		c.Runs++
 	})
+	if s.poisoned(r.text()) {
+		return
+	}
 	go s.generate(r.RequestID, g)
 	s.stream(ctx, r.RequestID, g, r.ResumeFrom)
 }
--- a/internal/standin/hingestandin/service.go
+++ b/internal/standin/hingestandin/service.go
@@ -28,6 +28,8 @@
 	}
 	s.mu.Unlock()
 	switch {
+	case s.poisoned(string(ctx.Path())):
+		return
 	case s.faults.take(CloseBefore):
 		_ = ctx.Conn().Close()
 		return
--- a/internal/standin/hingestandin/standin.go
+++ b/internal/standin/hingestandin/standin.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,6 +58,8 @@
 	ChecksFence        bool
 	// Heartbeat is the time between announcements; a report is that old when it arrives.
 	Heartbeat time.Duration
+	// Poison is a text that ends the stand-in as soon as it runs a request that has it; empty for none.
+	Poison string
 }
 
 // Defaults fills in what was left zero.
@@ -85,6 +88,9 @@
 	listener    net.Listener
 	faults      faults
 	done        chan struct{}
+	// ended closes when a request has ended the stand-in.
+	ended    chan struct{}
+	endsOnce sync.Once
 
 	mu       sync.Mutex
 	counts   Counts
@@ -113,6 +119,7 @@
 		incarnation: hingeids.Incarnation(now.UnixNano()),
 		listener:    l,
 		done:        make(chan struct{}),
+		ended:       make(chan struct{}),
 		running:     make(map[string]*generation),
 		caches:      make(map[string]*export),
 		prefixes:    newPrefixCache(),
@@ -148,6 +155,15 @@
 		MaxRequestBodySize:    64 << 20,
 		Logger:                quiet{},
 	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		select {
+		case <-s.ended:
+			stop()
+		case <-ctx.Done():
+		}
+	}()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
 		return web.Serve(&trackingListener{
@@ -172,6 +188,23 @@
 	return nil
 }
 
+// poisoned ends the stand-in if it has a request in hand that does.
+func (s *Server) poisoned(request string) bool {
+	if s.options.Poison == "" || !strings.Contains(request, s.options.Poison) {
+		return false
+	}
+	s.endsOnce.Do(func() {
+		close(s.ended)
+	})
+	<-s.done
+	return true
+}
+
+// Ended closes when a request has ended the stand-in.
+func (s *Server) Ended() <-chan struct{} {
+	return s.ended
+}
+
 type quiet struct{}
 
 func (quiet) Printf(string, ...any) {}
