--- /dev/null
+++ b/internal/decide/hingefleet/fuzz_test.go
@@ -0,0 +1,81 @@
+package hingefleet
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
+
+// A caller writes figures into its headers that no request has. Every control host that places it would end in turn, as each next
+// leader gets the same request.
+func FuzzWantsOfAnySize(f *testing.F) {
+	for _, n := range []int64{0, 1, -1, 5000, math.MaxInt64, math.MinInt64, math.MaxInt64 / 2} {
+		f.Add(n, n, n, n, n, n, false, false)
+		f.Add(n, int64(3000), int64(time.Second), n, int64(14*time.Second), n, true, true)
+	}
+	f.Fuzz(func(t *testing.T, prompt, expected, target, patience, left, gap int64, moved, cached bool) {
+		x := New()
+		x.SetEngines([]Engine{
+			{
+				Server: "prefill",
+				Role:   Prefill,
+				Slots:  8,
+				Memory: 24000,
+				Event:  65,
+			},
+			{
+				Server: "decode",
+				Role:   Decode,
+				Slots:  8,
+				Memory: 24000,
+				Event:  65,
+			},
+		})
+		now := time.Unix(1000, 0)
+		for i := range 5 {
+			w := Want{
+				ID:       StreamID(fmt.Sprint(i)),
+				Owner:    "entry",
+				Prompt:   5000,
+				Expected: 3000,
+				Arrived:  now,
+				Target:   900 * time.Millisecond,
+				Patience: 3 * time.Second,
+				Deadline: now.Add(14 * time.Second),
+			}
+			if i%2 == 0 {
+				w.Prompt = hingeids.Tokens(prompt)
+				w.Expected = hingeids.Tokens(expected)
+				w.Target = time.Duration(target)
+				w.Patience = time.Duration(patience)
+				w.Deadline = now.Add(time.Duration(left))
+				w.Gap = time.Duration(gap)
+				w.Moved = moved
+				w.Cached = cached
+			}
+			x.Offer(now, w)
+			for _, d := range x.Step(now) {
+				x.Report(now, "entry", []Progress{
+					{
+						ID:       d.ID,
+						Decode:   d.Grant.Decode,
+						Prompt:   w.Prompt,
+						Expected: w.Expected,
+						Made:     hingeids.Tokens(expected),
+					},
+				})
+				x.Note(now, Note{
+					Server:  d.Grant.Decode,
+					Outcome: Worked,
+					Stream:  d.ID,
+					Made:    hingeids.Tokens(expected),
+				})
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		x.Demand(now)
+	})
+}
