The same reports lead to the same placements

Cause: of two prompts that wait at an engine since the same moment, the map's order chose which counts as the oldest, whose length bounds the time since the last end, and so the engine's backlog. Ruled out: load (the same draws differed in one process), the sim (the plainer way repeats), other maps of the package (their order decides nothing).

Change: the one with the lower id.

--- a/internal/decide/hingefleet/prompts.go
+++ b/internal/decide/hingefleet/prompts.go
@@ -135,14 +135,16 @@
 	oldest := prompt{
 		since: now,
 	}
+	oldestID := StreamID("")
 	for id, p := range q.waiting {
 		if now.Sub(p.since) > unread {
 			delete(q.waiting, id)
 			continue
 		}
 		sum += p.tokens
-		if p.since.Before(oldest.since) {
-			oldest = p
+		// Of two that came at once the same is taken each time, whatever the order of the map.
+		if p.since.Before(oldest.since) || p.since.Equal(oldest.since) && id < oldestID {
+			oldest, oldestID = p, id
 		}
 	}
 	at := now.Sub(hingeclock.Later(oldest.since, q.endedAt))
