--- a/internal/serve/hingecontrol/poison.go
+++ b/internal/serve/hingecontrol/poison.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeshared"
@@ -42,6 +44,12 @@
 	})
 }
 
+// WriteMetrics writes the control host's metrics as text.
+func (c *Control) WriteMetrics(w io.Writer) {
+	// A reader that left needs no answer.
+	_, _ = fmt.Fprintf(w, "swifthinge_poison_requests %d\n", len(c.Poisons().Load().Records))
+}
+
 // list hands a change to whoever proposes them, who waits for disks. The placer mustn't.
 func (c *Control) list(x hingeshared.Change) {
 	select {
--- a/internal/soak/hingesoak/book.go
+++ b/internal/soak/hingesoak/book.go
@@ -139,6 +139,19 @@
 	b.result.Answered++
 }
 
+// found counts the requests that have ended as many servers as it takes to know.
+func (b *book) found() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, p := range b.poisons {
+		if p.ended >= mostEnded {
+			n++
+		}
+	}
+	return n
+}
+
 // accepted notes an accepted version; newest gives the newest.
 func (b *book) accepted(v uint64) {
 	b.mu.Lock()
--- a/internal/soak/hingesoak/load.go
+++ b/internal/soak/hingesoak/load.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 )
 
 // caller asks the entry hosts one request after the other, on connections that it keeps.
@@ -81,6 +83,7 @@
 		return c.check(id, stream, a.Body)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		c.book.refused(id, a.StatusCode)
+		c.refusedFor(id, a.Body)
 	case http.StatusNotFound:
 		c.book.broken("routes are known", id, "status 404")
 	}
@@ -88,6 +91,14 @@
 	return false
 }
 
+// refusedFor checks why a request was refused: none of these ends servers.
+func (c *caller) refusedFor(id string, body io.Reader) {
+	why, err := io.ReadAll(body)
+	if err == nil && strings.Contains(string(why), fmt.Sprintf("(%d)", hingeverdict.CodePoison)) {
+		c.book.broken("refuses only what ends servers", id, tail(string(why)))
+	}
+}
+
 // check compares an answer with what the request has to get.
 func (c *caller) check(id string, stream bool, body io.Reader) bool {
 	b, err := io.ReadAll(bufio.NewReader(body))
--- a/internal/soak/hingesoak/poison.go
+++ b/internal/soak/hingesoak/poison.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
+
+	hingeplatform "github.com/swifthinge/swifthinge/platform"
 )
 
 // poisonPath is in the path of each poison request.
@@ -71,3 +74,30 @@
 	_, _ = io.Copy(io.Discard, a.Body)
 	_ = a.Body.Close()
 }
+
+// readLists checks that each control host lists what has ended servers, once all is well.
+func (s *soak) readLists(ctx context.Context) {
+	want := s.book.found()
+	for _, p := range s.fleet.controls {
+		at := fmt.Sprintf("%s:%d", p.settings.IP, p.settings.MetricsPort)
+		listed := 0
+		if !waitFor(ctx, recoverTime, func() bool {
+			_, body, err := call(ctx, at, hingeplatform.Call{
+				Method: http.MethodGet,
+				Path:   "/poison",
+			})
+			var list struct {
+				Records []struct {
+					Print string `json:"print"`
+				} `json:"records"`
+			}
+			if err != nil || json.Unmarshal(body, &list) != nil {
+				return false
+			}
+			listed = len(list.Records)
+			return listed >= want
+		}) {
+			s.book.broken("knows what ends servers", "", fmt.Sprintf("%s lists %d of %d requests", p.name, listed, want))
+		}
+	}
+}
