One judgement of requests that end servers for both programs

The placer and serve put the book, the list and the trial together each in its own way. Book.Judge takes what the list says and tells what is to be done beside; nothing else changes.

--- a/internal/capacity/hingeplacer/alone.go
+++ b/internal/capacity/hingeplacer/alone.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -96,8 +95,8 @@
 	return s.fleets.Quota(c)
 }
 
-// Poison gives the record of a request that is refused.
-func (s ownShare) Poison(p hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+// Poison gives what the list says of a request.
+func (s ownShare) Poison(p hingeids.Print) hingepoison.Listed {
 	return s.fleets.Poison(p)
 }
 
--- a/internal/capacity/hingeplacer/ends.go
+++ b/internal/capacity/hingeplacer/ends.go
@@ -26,8 +26,8 @@
 // refuses reports whether a request is known to end servers, and for how long it still isn't tried. It saves the question, which
 // whoever sends such a request asks at any rate.
 func (o *Owner) refuses(p hingeids.Print) (time.Duration, bool) {
-	_, wait, listed := o.fleets.Poison(p)
-	return wait, listed && wait > 0
+	l := o.fleets.Poison(p)
+	return l.Wait, l.There && l.Wait > 0
 }
 
 // toldEnds notes what the placer has taken, or that it knows nothing of this host.
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -68,8 +68,8 @@
 	Quota(c hingeids.CallerID) hingecustomers.Quota
 	// Entries is how many entry hosts there are.
 	Entries() int
-	// Poison gives the record of a request that is refused, as it was agreed on, and how long it still is.
-	Poison(p hingeids.Print) (r hingepoison.Record, wait time.Duration, listed bool)
+	// Poison gives what the list of the requests that end servers says of one, as it was agreed on.
+	Poison(p hingeids.Print) hingepoison.Listed
 	// Leads reports whether this host was elected to place for all, rather than to place while nobody leads.
 	Leads() bool
 }
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -78,8 +78,8 @@
 }
 
 // Poison knows of no request that is refused.
-func (engines) Poison(hingeids.Print) (hingepoison.Record, time.Duration, bool) {
-	return hingepoison.Record{}, 0, false
+func (engines) Poison(hingeids.Print) hingepoison.Listed {
+	return hingepoison.Listed{}
 }
 
 func (engines) Entries() int { return 2 }
--- a/internal/capacity/hingeplacer/poison.go
+++ b/internal/capacity/hingeplacer/poison.go
@@ -1,6 +1,7 @@
 package hingeplacer
 
 import (
+	"maps"
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -20,14 +21,14 @@
 	for _, e := range ends {
 		p.tell(now, e)
 	}
-	if r, wait, listed := p.servers.Poison(print); listed {
-		return p.judgeListed(now, r, wait)
-	}
-	if !p.poisons.Knows(print) {
-		return hingepoison.Judgement{}
+	l := p.servers.Poison(print)
+	j := p.poisons.Judge(now, print, l, func() int {
+		return p.serversOf(s)
+	})
+	if j.Tried {
+		p.record(hingeevents.PoisonTried, l.Record)
 	}
-	j := p.poisons.Judge(now, print, p.serversOf(s))
-	if j.Refused && !j.Settles {
+	if j.Found {
 		p.found(now, print)
 	}
 	return j
@@ -43,6 +44,9 @@
 // stepPoisons has those agreed on that were found, whether or not they come again: by the time they do, this host may be gone.
 func (p *Placer) stepPoisons(now time.Time) {
 	p.poisons.Step(now)
+	maps.DeleteFunc(p.agreedAt, func(print hingeids.Print, _ time.Time) bool {
+		return p.servers.Poison(print).There
+	})
 	told := p.told
 	p.told = nil
 	for _, e := range told {
@@ -61,22 +65,6 @@
 	print   hingeids.Print
 }
 
-// judgeListed tells whether a request that is on the list may be tried.
-func (p *Placer) judgeListed(now time.Time, r hingepoison.Record, wait time.Duration) hingepoison.Judgement {
-	delete(p.agreedAt, r.Print)
-	if wait > 0 {
-		return hingepoison.Judgement{
-			Refused:    true,
-			RetryAfter: wait,
-		}
-	}
-	j, tries := p.poisons.Try(now, r.Print)
-	if tries {
-		p.record(hingeevents.PoisonTried, r)
-	}
-	return j
-}
-
 // found has a request agreed on that the own book refuses.
 func (p *Placer) found(now time.Time, print hingeids.Print) {
 	at, again := p.agreedAt[print]
@@ -98,16 +86,17 @@
 	if !p.poisons.Tell(now, e) {
 		return
 	}
-	r, _, listed := p.servers.Poison(e.Print)
-	if !listed {
+	l := p.servers.Poison(e.Print)
+	if !l.There {
 		p.told = append(p.told, toldEnd{
 			at:      now,
 			service: e.Service,
 			print:   e.Print,
 		})
+		return
 	}
-	if listed && p.agreement != nil && p.poisons.Tried(now, e) {
-		p.agreement.Agree(r.Again(p.today(), e.Server))
+	if r, inVain := p.poisons.InVain(now, p.today(), e, l); inVain && p.agreement != nil {
+		p.agreement.Agree(r)
 	}
 }
 
@@ -118,8 +107,8 @@
 	}
 	for _, x := range r.Passes {
 		p.poisons.Pass(now, x)
-		if record, _, listed := p.servers.Poison(x.Print); listed && p.agreement != nil {
-			p.record(hingeevents.PoisonAcquitted, record)
+		if l := p.servers.Poison(x.Print); l.There && p.agreement != nil {
+			p.record(hingeevents.PoisonAcquitted, l.Record)
 			p.agreement.Acquit(x.Print)
 		}
 	}
--- a/internal/capacity/hingeplacer/poison_test.go
+++ b/internal/capacity/hingeplacer/poison_test.go
@@ -23,7 +23,7 @@
 	removed []hingeids.Print
 }
 
-func (l *listing) Poison(p hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+func (l *listing) Poison(p hingeids.Print) hingepoison.Listed {
 	return l.list.At(l.today, p)
 }
 
@@ -174,7 +174,7 @@
 			continue
 		}
 		p.tell(now, ended("engine-9", 7))
-		if r, _, _ := l.Poison(7); r.Trials != 1 || r.Ended != 4 {
+		if r := l.Poison(7).Record; r.Trials != 1 || r.Ended != 4 {
 			t.Errorf("after a trial in vain: %+v", r)
 		}
 		if j := p.judge(now, "model", 7, nil); !j.Refused || j.RetryAfter < 2*time.Hour {
--- a/internal/decide/hingepoison/book.go
+++ b/internal/decide/hingepoison/book.go
@@ -86,6 +86,18 @@
 	Settles bool
 	// Suspect says that a whole answer has to be told.
 	Suspect bool
+	// Found says that it is to be put on the list, Tried that it is let through although it stands there.
+	Found bool
+	Tried bool
+}
+
+// Listed is what the list says of a request.
+type Listed struct {
+	Record Record
+	// Wait is how long it isn't tried; zero or less if it is due.
+	Wait time.Duration
+	// There says that it is on the list at all.
+	There bool
 }
 
 // suspect is a request that servers ended under.
@@ -183,27 +195,33 @@
 	}
 }
 
-// Knows reports whether anything is known of a request.
-func (b *Book) Knows(p hingeids.Print) bool {
-	return b.suspects[p] != nil
-}
-
-// Judge tells what to do with a request by what hosts have told; servers is how many there are of its service.
-func (b *Book) Judge(now time.Time, p hingeids.Print, servers int) Judgement {
+// Judge tells what to do with a request; servers counts those of its service, which is asked only where something is known.
+func (b *Book) Judge(now time.Time, p hingeids.Print, l Listed, servers func() int) Judgement {
+	switch {
+	case l.There && l.Wait > 0:
+		return Judgement{
+			Refused:    true,
+			RetryAfter: l.Wait,
+		}
+	case l.There:
+		return b.try(now, p)
+	}
 	s := b.suspects[p]
 	if s == nil || len(s.ends) == 0 {
 		return Judgement{}
 	}
-	count, chance := b.against(now, p, s, servers)
-	if count >= enoughEnds && chance < byChance {
+	count, chance := b.against(now, p, s, servers())
+	if count < enoughEnds || chance >= byChance {
 		return Judgement{
-			Refused:    true,
-			RetryAfter: shortestWait,
-			Settles:    now.Sub(s.lastAt) < SettleTime,
+			Suspect: true,
 		}
 	}
+	settles := now.Sub(s.lastAt) < SettleTime
 	return Judgement{
-		Suspect: true,
+		Refused:    true,
+		RetryAfter: shortestWait,
+		Settles:    settles,
+		Found:      !settles,
 	}
 }
 
@@ -246,8 +264,8 @@
 	return max(long/rateWindow.Seconds(), short/shortWindow.Seconds()) / float64(max(servers, 1))
 }
 
-// Try reports whether a request that is listed, and due, may run now (rule 5): one attempt at a time.
-func (b *Book) Try(now time.Time, p hingeids.Print) (Judgement, bool) {
+// try decides on a request that is on the list, and due (rule 5): one attempt at a time may run.
+func (b *Book) try(now time.Time, p hingeids.Print) Judgement {
 	s := b.suspects[p]
 	if s == nil {
 		s = &suspect{
@@ -260,18 +278,22 @@
 		return Judgement{
 			Refused:    true,
 			RetryAfter: trialTime - now.Sub(s.triedAt),
-		}, false
+		}
 	}
 	s.triedAt = now
 	return Judgement{
 		Suspect: true,
-	}, true
+		Tried:   true,
+	}
 }
 
-// Tried reports whether an end is that of a trial.
-func (b *Book) Tried(now time.Time, e End) bool {
+// InVain gives the record of a request that is on the list after a trial in vain, if an end that is new here is that of a trial.
+func (b *Book) InVain(now, today time.Time, e End, l Listed) (Record, bool) {
 	s := b.suspects[e.Print]
-	return s != nil && !s.triedAt.IsZero() && !now.Add(-e.Ago).Before(s.triedAt)
+	if !l.There || s == nil || s.triedAt.IsZero() || now.Add(-e.Ago).Before(s.triedAt) {
+		return Record{}, false
+	}
+	return l.Record.again(today, e.Server), true
 }
 
 // Found gives the record of a request that is refused. Today is the time of day, which hosts that read the list have in common.
--- a/internal/decide/hingepoison/book_test.go
+++ b/internal/decide/hingepoison/book_test.go
@@ -13,7 +13,7 @@
 var begin = time.Unix(1000, 0)
 
 // servers is how many servers the service of the tests has.
-const servers = 9
+func servers() int { return 9 }
 
 func end(p hingeids.Print, server string, had time.Duration) End {
 	return End{
@@ -44,11 +44,11 @@
 	if b.Tell(now, end(7, "engine-7-1", 100*time.Millisecond)) {
 		t.Error("an end that was told is new")
 	}
-	if j := b.Judge(now, 7, servers); j.Refused || !j.Suspect {
+	if j := b.Judge(now, 7, Listed{}, servers); j.Refused || !j.Suspect {
 		t.Errorf("%+v after two servers", j)
 	}
 	now = cause(b, now, 7, 3)
-	if j := b.Judge(now, 7, servers); !j.Refused {
+	if j := b.Judge(now, 7, Listed{}, servers); !j.Refused {
 		t.Errorf("%+v after three servers", j)
 	}
 }
@@ -63,10 +63,10 @@
 		b.Tell(now, end(p, fmt.Sprint("other-", i), 100*time.Millisecond))
 	}
 	now = now.Add(time.Second)
-	if j := b.Judge(now, 7, servers); !j.Refused {
+	if j := b.Judge(now, 7, Listed{}, servers); !j.Refused {
 		t.Errorf("the cause: %+v", j)
 	}
-	if j := b.Judge(now, 8, servers); j.Refused {
+	if j := b.Judge(now, 8, Listed{}, servers); j.Refused {
 		t.Errorf("the other: %+v", j)
 	}
 }
@@ -85,10 +85,11 @@
 		b.Tell(now, end(8, fmt.Sprint("short-", i), 20*time.Millisecond))
 	}
 	now = now.Add(time.Second)
-	if j := b.Judge(now, 7, 300); j.Refused {
+	many := func() int { return 300 }
+	if j := b.Judge(now, 7, Listed{}, many); j.Refused {
 		t.Errorf("a long stream: %+v", j)
 	}
-	if j := b.Judge(now, 8, 300); !j.Refused {
+	if j := b.Judge(now, 8, Listed{}, many); !j.Refused {
 		t.Errorf("a request that ends servers at once: %+v", j)
 	}
 }
@@ -109,7 +110,7 @@
 		Ago:     10 * time.Second,
 	})
 	b.Tell(now, end(7, "engine-new", 100*time.Millisecond))
-	if j := b.Judge(now, 7, servers); j.Refused {
+	if j := b.Judge(now, 7, Listed{}, servers); j.Refused {
 		t.Errorf("%+v after two ends since it was answered", j)
 	}
 }
@@ -177,24 +178,28 @@
 	now = cause(both, begin, 7, 3, 8)
 	doubtful := both.Found(now, today, 7)
 	var waits []time.Duration
-	for _, r := range []Record{doubtful, doubtful.Again(today, "engine-4"), certain, certain.Again(today, "engine-4")} {
+	for _, r := range []Record{doubtful, doubtful.again(today, "engine-4"), certain, certain.again(today, "engine-4")} {
 		waits = append(waits, r.Wait(today))
 	}
 	if diff := cmp.Diff([]time.Duration{doubtfulWait, 2 * shortestWait, shortestWait, 2 * shortestWait}, waits); diff != "" {
 		t.Error(diff)
 	}
-	if _, tries := b.Try(now, 7); !tries {
-		t.Error("it isn't tried")
+	due := Listed{
+		Record: certain,
+		There:  true,
 	}
-	if j, tries := b.Try(now.Add(time.Second), 7); tries || !j.Refused {
-		t.Error("it is tried twice at the same time")
+	if j := b.Judge(now, 7, due, servers); !j.Tried || j.Refused {
+		t.Errorf("when it is due: %+v", j)
 	}
-	if !b.Tried(now.Add(time.Second), end(7, "engine-5", 0)) {
-		t.Error("an end under the trial isn't known as one")
+	if j := b.Judge(now.Add(time.Second), 7, due, servers); j.Tried || !j.Refused {
+		t.Errorf("beside a trial: %+v", j)
+	}
+	if r, inVain := b.InVain(now.Add(time.Second), today, end(7, "engine-5", 0), due); !inVain || r.Trials != 1 {
+		t.Errorf("an end under the trial isn't known as one: %+v", r)
 	}
 	late := end(7, "engine-5", 0)
 	late.Ago = time.Minute
-	if b.Tried(now.Add(time.Second), late) {
+	if _, inVain := b.InVain(now.Add(time.Second), today, late, due); inVain {
 		t.Error("an end from before the trial is taken for its own")
 	}
 	// A time of day that was set back by a year must not make it wait for a year.
@@ -231,13 +236,13 @@
 	b.Run("unknown", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			k.Knows(6)
+			k.Judge(now, 6, Listed{}, servers)
 		}
 	})
 	b.Run("refused", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			k.Judge(now, 7, servers)
+			k.Judge(now, 7, Listed{}, servers)
 		}
 	})
 	b.Run("listed", func(b *testing.B) {
--- a/internal/decide/hingepoison/list.go
+++ b/internal/decide/hingepoison/list.go
@@ -49,8 +49,8 @@
 	return min(time.UnixMilli(r.Since).Add(wait).Sub(today), wait)
 }
 
-// Again gives the record after a trial in vain.
-func (r Record) Again(today time.Time, server hingeids.ServerID) Record {
+// again gives the record after a trial in vain.
+func (r Record) again(today time.Time, server hingeids.ServerID) Record {
 	r.Trials++
 	r.Ended++
 	r.Since = today.UnixMilli()
@@ -76,12 +76,17 @@
 	return l.Records[i], true
 }
 
-// At gives the record of a request at a time of day, and how long it still isn't tried; zero or less if it is due.
-func (l *List) At(today time.Time, p hingeids.Print) (r Record, wait time.Duration, listed bool) {
-	if r, listed = l.Find(p); listed {
-		wait = r.Wait(today)
+// At gives what the list says of a request at a time of day.
+func (l *List) At(today time.Time, p hingeids.Print) Listed {
+	r, there := l.Find(p)
+	if !there {
+		return Listed{}
+	}
+	return Listed{
+		Record: r,
+		Wait:   r.Wait(today),
+		There:  true,
 	}
-	return r, wait, listed
 }
 
 func (l *List) search(p hingeids.Print) (int, bool) {
--- a/internal/decide/hingepoison/sim_test.go
+++ b/internal/decide/hingepoison/sim_test.go
@@ -149,6 +149,11 @@
 	return time.Unix(1000, 0).Add(s.now)
 }
 
+// count counts the engines.
+func (s *sim) count() int {
+	return s.engines
+}
+
 // again has a stream come after some time.
 func (s *sim) again(x *simStream, mean time.Duration) {
 	at := s.now + tick + time.Duration(s.random.ExpFloat64()*float64(mean))
@@ -259,7 +264,7 @@
 		}
 		return Judgement{}
 	}
-	return b.Judge(s.time(), x.print, s.engines)
+	return b.Judge(s.time(), x.print, Listed{}, s.count)
 }
 
 func (s *sim) place(x *simStream) {
@@ -330,7 +335,7 @@
 		e.streams = slices.Delete(e.streams, k, k+1)
 		k--
 		s.result.served++
-		if s.book(x.host).Judge(s.time(), x.print, s.engines).Suspect {
+		if s.book(x.host).Judge(s.time(), x.print, Listed{}, s.count).Suspect {
 			s.ledgers[x.host].Pass(s.time(), x.print)
 			s.facts = append(s.facts, simFact{
 				at:   s.now + toldAfter,
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -267,8 +267,8 @@
 
 func (w *world) Quota(c hingeids.CallerID) hingecustomers.Quota { return w.Table().Quota(c) }
 
-func (w *world) Poison(hingeids.Print) (hingepoison.Record, time.Duration, bool) {
-	return hingepoison.Record{}, 0, false
+func (w *world) Poison(hingeids.Print) hingepoison.Listed {
+	return hingepoison.Listed{}
 }
 
 func (w *world) Placers() []hingeids.HostID { return w.placers }
--- a/internal/serve/hingecontrol/poison.go
+++ b/internal/serve/hingecontrol/poison.go
@@ -25,8 +25,8 @@
 	return c.machine.Poisons()
 }
 
-// Poison gives the record of a request that is refused, and how long it still is.
-func (c *Control) Poison(p hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+// Poison gives what the list says of a request.
+func (c *Control) Poison(p hingeids.Print) hingepoison.Listed {
 	return c.Poisons().Load().At(time.Now(), p)
 }
 
--- a/internal/serve/hingefront/world.go
+++ b/internal/serve/hingefront/world.go
@@ -85,8 +85,8 @@
 	return f.Table().Quota(c)
 }
 
-// Poison gives the record of a request that is refused, as a control host told it, and how long it still is.
-func (f *Front) Poison(p hingeids.Print) (hingepoison.Record, time.Duration, bool) {
+// Poison gives what the list says of a request, as a control host told it.
+func (f *Front) Poison(p hingeids.Print) hingepoison.Listed {
 	return f.follower.State().Load().Poisons.At(time.Now(), p)
 }
 
--- a/internal/serve/hingeserver/poisons.go
+++ b/internal/serve/hingeserver/poisons.go
@@ -129,24 +129,14 @@
 func (p *poisons) judge(now time.Time, print hingeids.Print, s hingeids.Service) hingepoison.Judgement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r, wait, listed := p.list.At(now, print); listed {
-		if wait > 0 {
-			return hingepoison.Judgement{
-				Refused:    true,
-				RetryAfter: wait,
-			}
-		}
-		j, tries := p.book.Try(now, print)
-		if tries {
-			p.record(hingeevents.PoisonTried, r)
-		}
-		return j
-	}
-	if !p.book.Knows(print) {
-		return hingepoison.Judgement{}
+	l := p.list.At(now, print)
+	j := p.book.Judge(now, print, l, func() int {
+		return p.servers(s)
+	})
+	if j.Tried {
+		p.record(hingeevents.PoisonTried, l.Record)
 	}
-	j := p.book.Judge(now, print, p.servers(s))
-	if j.Refused && !j.Settles {
+	if j.Found {
 		r := p.book.Found(now, now, print)
 		p.record(hingeevents.PoisonFound, r)
 		p.put(r)
@@ -203,8 +193,8 @@
 	if !p.book.Tell(now, e) {
 		return
 	}
-	if r, listed := p.list.Find(e.Print); listed && p.book.Tried(now, e) {
-		p.put(r.Again(now, e.Server))
+	if r, inVain := p.book.InVain(now, now, e, p.list.At(now, e.Print)); inVain {
+		p.put(r)
 	}
 }
 
