What an operator lifts stays lifted, and an old answer doesn't let a request through

Two faults of the list of requests that end servers, found by reading it again, before any landing: - DELETE took a request off the list, but the placer's book, and every host that tells the next one what it has seen, still had the ends under it, so that it was refused again at once. - A host tells a new placer of suspected requests that were answered whole. One that was answered before it was found was let through again by that.

A record that is lifted stays on the list with the moment, and only what is newer counts, whoever tells it; an answer lets a request through only if it came after the record. For serve this takes the place of what it remembered of removals.

TestOnlyWhatIsNewerThanTheListCounts fails without either.

--- a/internal/agreement/hingeshared/shared.go
+++ b/internal/agreement/hingeshared/shared.go
@@ -12,7 +12,6 @@
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
-	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 )
 
@@ -41,11 +40,10 @@
 	return &m.poisons
 }
 
-// Change is a change of the list: a record, or the print of a request that is taken off.
+// Change is a change of the list.
 type Change struct {
-	_       struct{} `cbor:",toarray"`
-	Record  hingepoison.Record
-	Removed hingeids.Print
+	_      struct{} `cbor:",toarray"`
+	Record hingepoison.Record
 }
 
 // Encode gives a change as a proposal for the log.
@@ -69,10 +67,6 @@
 	if err := cbor.Unmarshal(data, &c); err != nil {
 		return nil
 	}
-	if c.Removed != 0 {
-		m.poisons.Store(m.poisons.Load().Without(c.Removed))
-		return nil
-	}
 	m.poisons.Store(m.poisons.Load().With(c.Record))
 	return nil
 }
--- a/internal/agreement/hingeshared/shared_test.go
+++ b/internal/agreement/hingeshared/shared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -53,10 +54,10 @@
 		t.Error("the request isn't on the list any more")
 	}
 	apply(t, next, Change{
-		Removed: 7,
+		Record: hingepoison.Lift(time.UnixMilli(2), 7),
 	})
-	if l := next.Poisons().Load(); len(l.Records) != 0 || l.Revision != 2 {
-		t.Errorf("%+v after it was taken off", l)
+	if l := next.Poisons().Load(); len(l.Refused()) != 0 || l.Revision != 2 {
+		t.Errorf("%+v after it was lifted", l)
 	}
 }
 
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -74,11 +74,10 @@
 	Leads() bool
 }
 
-// Agreement keeps the list of the requests that end servers. Its methods wait for nothing.
+// Agreement keeps the list of the requests that end servers.
 type Agreement interface {
-	// Agree has a record put on the list, Acquit has a request taken off.
+	// Agree has a record put on the list, and waits for nothing.
 	Agree(r hingepoison.Record)
-	Acquit(p hingeids.Print)
 }
 
 // Placer places streams while Leads says so.
--- a/internal/capacity/hingeplacer/poison.go
+++ b/internal/capacity/hingeplacer/poison.go
@@ -107,11 +107,19 @@
 	}
 	for _, x := range r.Passes {
 		p.poisons.Pass(now, x)
-		if l := p.servers.Poison(x.Print); l.There && p.agreement != nil {
-			p.record(hingeevents.PoisonAcquitted, l.Record)
-			p.agreement.Acquit(x.Print)
-		}
+		p.acquit(x)
+	}
+}
+
+// acquit has a request let through again that was answered whole since it is refused. Hosts tell a new placer of older answers too.
+func (p *Placer) acquit(x hingepoison.Pass) {
+	l := p.servers.Poison(x.Print)
+	at := p.today().Add(-x.Ago)
+	if p.agreement == nil || !l.There || at.UnixMilli() <= l.Record.Since {
+		return
 	}
+	p.record(hingeevents.PoisonAcquitted, l.Record)
+	p.agreement.Agree(hingepoison.Lift(at, x.Print))
 }
 
 // serversOf counts the servers of a service.
--- a/internal/capacity/hingeplacer/poison_test.go
+++ b/internal/capacity/hingeplacer/poison_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
@@ -18,9 +16,8 @@
 	list  *hingepoison.List
 	today time.Time
 	// works says that there is a leader to agree with.
-	works   bool
-	agreed  []hingepoison.Record
-	removed []hingeids.Print
+	works  bool
+	agreed []hingepoison.Record
 }
 
 func (l *listing) Poison(p hingeids.Print) hingepoison.Listed {
@@ -34,11 +31,6 @@
 	}
 }
 
-func (l *listing) Acquit(p hingeids.Print) {
-	l.removed = append(l.removed, p)
-	l.list = l.list.Without(p)
-}
-
 // poisoned is a placer whose loop is the test.
 func poisoned() (*Placer, *listing) {
 	l := &listing{
@@ -156,6 +148,7 @@
 			t.Errorf("a second attempt beside the trial: %+v", j)
 		}
 		now = now.Add(time.Second)
+		l.today = l.today.Add(time.Second)
 		if mended {
 			p.take(now, "entry-1", report{
 				Sequence: 9,
@@ -165,8 +158,8 @@
 					},
 				},
 			})
-			if diff := cmp.Diff([]hingeids.Print{7}, l.removed); diff != "" {
-				t.Error(diff)
+			if refused := l.list.Refused(); len(refused) != 0 {
+				t.Errorf("still refused: %+v", refused)
 			}
 			if j := p.judge(now, "model", 7, nil); j.Refused {
 				t.Errorf("after a whole answer: %+v", j)
@@ -238,3 +231,56 @@
 		}
 	})
 }
+
+// An operator has mended what a request ended, and lifts it. The placer, and whoever is told of the old ends next, would refuse it again
+// by them; and an answer from before it was found, told to a new placer, would let it through.
+func TestOnlyWhatIsNewerThanTheListCounts(t *testing.T) {
+	p, l := poisoned()
+	l.works = true
+	now := tells(p, time.Now(), 7, 3)
+	p.stepQuotas(now)
+	p.take(now, "entry-9", report{
+		Sequence: 1,
+		Passes: []hingepoison.Pass{
+			{
+				Print: 7,
+				Ago:   time.Minute,
+			},
+		},
+	})
+	if j := p.judge(now, "model", 7, nil); !j.Refused {
+		t.Errorf("after an old answer: %+v", j)
+	}
+	l.today = l.today.Add(time.Hour)
+	now = now.Add(time.Hour)
+	l.Agree(hingepoison.Lift(l.today, 7))
+	l.today = l.today.Add(time.Second)
+	now = now.Add(time.Second)
+	if j := p.judge(now, "model", 7, nil); j.Refused {
+		t.Errorf("after it was lifted: %+v", j)
+	}
+	next, nextList := poisoned()
+	*nextList = *l
+	next.servers = l
+	for i := range 3 {
+		e := ended(fmt.Sprint("engine-", i), 7)
+		e.Ago = time.Minute
+		next.tell(now, e)
+	}
+	if j := next.judge(now, "model", 7, nil); j.Refused {
+		t.Errorf("at another placer: %+v", j)
+	}
+	now = tells(p, now, 7, 3)
+	l.today = l.today.Add(3 * time.Second)
+	if j := p.judge(now.Add(time.Second), "model", 7, nil); j.Refused {
+		t.Errorf("engines of the same names ended under it once: %+v", j)
+	}
+	for i := range 3 {
+		p.tell(now, ended(fmt.Sprint("engine-new-", i), 7))
+		now = now.Add(time.Second)
+		l.today = l.today.Add(time.Second)
+	}
+	if j := p.judge(now, "model", 7, nil); !j.Refused {
+		t.Errorf("after three new ends: %+v", j)
+	}
+}
--- a/internal/decide/hingepoison/book.go
+++ b/internal/decide/hingepoison/book.go
@@ -96,8 +96,11 @@
 	Record Record
 	// Wait is how long it isn't tried; zero or less if it is due.
 	Wait time.Duration
-	// There says that it is on the list at all.
+	// There says that it is refused by the list.
 	There bool
+	// Lifted says that it was let through again, LiftedAgo how long ago.
+	Lifted    bool
+	LiftedAgo time.Duration
 }
 
 // suspect is a request that servers ended under.
@@ -206,6 +209,12 @@
 	case l.There:
 		return b.try(now, p)
 	}
+	if l.Lifted {
+		b.Pass(now, Pass{
+			Print: p,
+			Ago:   l.LiftedAgo,
+		})
+	}
 	s := b.suspects[p]
 	if s == nil || len(s.ends) == 0 {
 		return Judgement{}
--- a/internal/decide/hingepoison/list.go
+++ b/internal/decide/hingepoison/list.go
@@ -31,6 +31,18 @@
 	Trials int `cbor:"8,keyasint,omitempty"`
 	// Doubtful says that another request was at all the same ends.
 	Doubtful bool `cbor:"9,keyasint,omitempty"`
+	// Lifted is when the request was let through again, in the same milliseconds; zero if it is refused. What was before doesn't count
+	// any more, whoever tells it.
+	Lifted int64 `cbor:"10,keyasint,omitempty"`
+}
+
+// Lift gives the record that lets a request through again.
+func Lift(today time.Time, p hingeids.Print) Record {
+	return Record{
+		Print:  p,
+		Since:  today.UnixMilli(),
+		Lifted: today.UnixMilli(),
+	}
 }
 
 // String names the service and the servers, for the log.
@@ -79,8 +91,14 @@
 // At gives what the list says of a request at a time of day.
 func (l *List) At(today time.Time, p hingeids.Print) Listed {
 	r, there := l.Find(p)
-	if !there {
+	switch {
+	case !there:
 		return Listed{}
+	case r.Lifted > 0:
+		return Listed{
+			Lifted:    true,
+			LiftedAgo: max(today.Sub(time.UnixMilli(r.Lifted)), 0),
+		}
 	}
 	return Listed{
 		Record: r,
@@ -89,6 +107,13 @@
 	}
 }
 
+// Refused gives the records of the requests that are refused.
+func (l *List) Refused() []Record {
+	return slices.DeleteFunc(slices.Clone(l.Records), func(r Record) bool {
+		return r.Lifted > 0
+	})
+}
+
 func (l *List) search(p hingeids.Print) (int, bool) {
 	return slices.BinarySearchFunc(l.Records, p, func(r Record, p hingeids.Print) int {
 		return cmp.Compare(r.Print, p)
@@ -116,15 +141,6 @@
 	return out
 }
 
-// Without gives the list without a request.
-func (l *List) Without(p hingeids.Print) *List {
-	out := l.next()
-	if i, found := out.search(p); found {
-		out.Records = slices.Delete(out.Records, i, i+1)
-	}
-	return out
-}
-
 func (l *List) next() *List {
 	return &List{
 		Revision: l.Revision + 1,
--- a/internal/serve/hingecontrol/operators.go
+++ b/internal/serve/hingecontrol/operators.go
@@ -31,20 +31,16 @@
 	case r.Target == poisonPath && r.Method == http.MethodGet:
 		o.list(w)
 	case one && r.Method == http.MethodPut:
-		o.change(ctx, w, name, func(p hingeids.Print) hingeshared.Change {
-			return hingeshared.Change{
-				Record: hingepoison.Record{
-					Print: p,
-					First: time.Now().UnixMilli(),
-					Since: time.Now().UnixMilli(),
-				},
+		o.change(ctx, w, name, func(p hingeids.Print) hingepoison.Record {
+			return hingepoison.Record{
+				Print: p,
+				First: time.Now().UnixMilli(),
+				Since: time.Now().UnixMilli(),
 			}
 		})
 	case one && r.Method == http.MethodDelete:
-		o.change(ctx, w, name, func(p hingeids.Print) hingeshared.Change {
-			return hingeshared.Change{
-				Removed: p,
-			}
+		o.change(ctx, w, name, func(p hingeids.Print) hingepoison.Record {
+			return hingepoison.Lift(time.Now(), p)
 		})
 	default:
 		tellOperator(w, http.StatusNotFound, "no such route")
@@ -70,7 +66,7 @@
 	now := time.Now()
 	l := o.Control.Poisons().Load()
 	var records []record
-	for _, r := range l.Records {
+	for _, r := range l.Refused() {
 		records = append(records, record{
 			Print:     r.Print,
 			Service:   r.Service,
@@ -93,13 +89,15 @@
 	})
 }
 
-func (o Operators) change(ctx context.Context, w *hingewire.Writer, name string, of func(hingeids.Print) hingeshared.Change) {
+func (o Operators) change(ctx context.Context, w *hingewire.Writer, name string, of func(hingeids.Print) hingepoison.Record) {
 	var p hingeids.Print
 	if err := p.UnmarshalText([]byte(name)); err != nil || p == 0 {
 		tellOperator(w, http.StatusBadRequest, "a print is sixteen hexadecimal digits")
 		return
 	}
-	if err := o.Control.proposeChange(ctx, of(p)); err != nil {
+	if err := o.Control.proposeChange(ctx, hingeshared.Change{
+		Record: of(p),
+	}); err != nil {
 		tellOperator(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
--- a/internal/serve/hingecontrol/poison.go
+++ b/internal/serve/hingecontrol/poison.go
@@ -37,17 +37,10 @@
 	})
 }
 
-// Acquit has a request taken off the list.
-func (c *Control) Acquit(p hingeids.Print) {
-	c.list(hingeshared.Change{
-		Removed: p,
-	})
-}
-
 // WriteMetrics writes the control host's metrics as text.
 func (c *Control) WriteMetrics(w io.Writer) {
 	// A reader that left needs no answer.
-	_, _ = fmt.Fprintf(w, "swifthinge_poison_requests %d\n", len(c.Poisons().Load().Records))
+	_, _ = fmt.Fprintf(w, "swifthinge_poison_requests %d\n", len(c.Poisons().Load().Refused()))
 }
 
 // list hands a change to whoever proposes them, who waits for disks. The placer mustn't.
--- a/internal/serve/hingeserver/poisons.go
+++ b/internal/serve/hingeserver/poisons.go
@@ -48,8 +48,6 @@
 	book *hingepoison.Book
 	list *hingepoison.List
 	news poisonNews
-	// removed is when requests were taken off the list, in milliseconds of the time of day: a record from before may come later.
-	removed map[hingeids.Print]int64
 }
 
 // poisonNews is what one host tells others.
@@ -57,7 +55,6 @@
 	Ends    []hingepoison.End    `cbor:"1,keyasint,omitempty"`
 	Passes  []hingepoison.Pass   `cbor:"2,keyasint,omitempty"`
 	Records []hingepoison.Record `cbor:"3,keyasint,omitempty"`
-	Removed []hingeids.Print     `cbor:"4,keyasint,omitempty"`
 }
 
 func newPoisons(
@@ -74,7 +71,6 @@
 		done:     make(chan struct{}),
 		book:     hingepoison.NewBook(),
 		list:     &hingepoison.List{},
-		removed:  make(map[hingeids.Print]int64),
 	}
 	link.HandleDatagram(methodPoison, p.heard)
 	link.HandleCall(methodPoisons, func(context.Context, hingeids.HostID, []byte) ([]byte, error) {
@@ -208,10 +204,9 @@
 	defer p.mu.Unlock()
 	p.book.Pass(now, x)
 	p.news.Passes = append(p.news.Passes, x)
-	if r, listed := p.list.Find(print); listed {
-		p.record(hingeevents.PoisonAcquitted, r)
-		p.remove(now, print)
-		p.news.Removed = append(p.news.Removed, print)
+	if l := p.list.At(now, print); l.There {
+		p.record(hingeevents.PoisonAcquitted, l.Record)
+		p.put(hingepoison.Lift(now, print))
 	}
 	p.changed()
 }
@@ -255,26 +250,10 @@
 		p.book.Pass(now, x)
 	}
 	for _, r := range news.Records {
-		held, listed := p.list.Find(r.Print)
-		if p.removed[r.Print] < r.Since && (!listed || held.Since < r.Since) {
+		if held, listed := p.list.Find(r.Print); !listed || held.Since < r.Since {
 			p.list = p.list.With(r)
 		}
 	}
-	for _, print := range news.Removed {
-		p.remove(now, print)
-	}
-}
-
-// mostRemoved bounds what is remembered of requests that were taken off the list: messages cross for a moment only.
-const mostRemoved = 1024
-
-// remove takes a request off the list. The caller holds the lock.
-func (p *poisons) remove(now time.Time, print hingeids.Print) {
-	p.list = p.list.Without(print)
-	if len(p.removed) >= mostRemoved {
-		clear(p.removed)
-	}
-	p.removed[print] = now.UnixMilli()
 }
 
 // run tells the others what this host sees, and asks them at first what they refuse.
@@ -338,13 +317,12 @@
 		}
 		out = append(out, b)
 	}
-	for len(n.Ends)+len(n.Passes)+len(n.Records)+len(n.Removed) > 0 {
+	for len(n.Ends)+len(n.Passes)+len(n.Records) > 0 {
 		var part poisonNews
 		part.Ends, n.Ends = split(n.Ends, factsPerMessage)
 		if len(part.Ends) == 0 {
 			part.Records, n.Records = split(n.Records, recordsPerTell)
 			part.Passes, n.Passes = split(n.Passes, factsPerMessage)
-			part.Removed, n.Removed = split(n.Removed, factsPerMessage)
 		}
 		add(part)
 	}
--- a/internal/serve/hingeserver/poisons_test.go
+++ b/internal/serve/hingeserver/poisons_test.go
@@ -191,7 +191,6 @@
 			First:   time.Now().UnixMilli(),
 			Since:   time.Now().UnixMilli(),
 		})
-		n.Removed = append(n.Removed, hingeids.Print(1<<63+uint64(i)))
 	}
 	for _, b := range n.messages() {
 		if len(b) > 1100 {
--- a/internal/soak/hingesoak/book.go
+++ b/internal/soak/hingesoak/book.go
@@ -152,6 +152,26 @@
 	return n
 }
 
+// poisonFound names one of them, with how many servers have ended under it.
+func (b *book) poisonFound() (path string, ended int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for path, p := range b.poisons {
+		if p.ended >= mostEnded {
+			// It is let run again: what ends now is no breach.
+			p.third = time.Now()
+			return path, p.ended
+		}
+	}
+	return "", 0
+}
+
+func (b *book) endedUnder(path string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.poisons[path].ended
+}
+
 // accepted notes an accepted version; newest gives the newest.
 func (b *book) accepted(v uint64) {
 	b.mu.Lock()
--- a/internal/soak/hingesoak/poison.go
+++ b/internal/soak/hingesoak/poison.go
@@ -75,29 +75,70 @@
 	_ = a.Body.Close()
 }
 
-// readLists checks that each control host lists what has ended servers, once all is well.
-func (s *soak) readLists(ctx context.Context) {
+// poisonRoute is where control hosts give the list, beside their metrics.
+const poisonRoute = "/poison"
+
+// listed gives the prints that a control host refuses; false if it doesn't answer.
+func listed(ctx context.Context, p *process) ([]string, bool) {
+	_, body, err := call(ctx, metricsOf(p), hingeplatform.Call{
+		Method: http.MethodGet,
+		Path:   poisonRoute,
+	})
+	var list struct {
+		Records []struct {
+			Print string `json:"print"`
+		} `json:"records"`
+	}
+	if err != nil || json.Unmarshal(body, &list) != nil {
+		return nil, false
+	}
+	var out []string
+	for _, r := range list.Records {
+		out = append(out, r.Print)
+	}
+	return out, true
+}
+
+func metricsOf(p *process) string {
+	return fmt.Sprintf("%s:%d", p.settings.IP, p.settings.MetricsPort)
+}
+
+// checkLists checks that each control host lists what has ended servers, once all is well, and that a request runs again once an
+// operator has lifted it.
+func (s *soak) checkLists(ctx context.Context) {
 	want := s.book.found()
 	for _, p := range s.fleet.controls {
-		at := fmt.Sprintf("%s:%d", p.settings.IP, p.settings.MetricsPort)
-		listed := 0
+		n := 0
 		if !waitFor(ctx, recoverTime, func() bool {
-			_, body, err := call(ctx, at, hingeplatform.Call{
-				Method: http.MethodGet,
-				Path:   "/poison",
-			})
-			var list struct {
-				Records []struct {
-					Print string `json:"print"`
-				} `json:"records"`
-			}
-			if err != nil || json.Unmarshal(body, &list) != nil {
-				return false
-			}
-			listed = len(list.Records)
-			return listed >= want
+			prints, ok := listed(ctx, p)
+			n = len(prints)
+			return ok && n >= want
 		}) {
-			s.book.broken("knows what ends servers", "", fmt.Sprintf("%s lists %d of %d requests", p.name, listed, want))
+			s.book.broken("knows what ends servers", "", fmt.Sprintf("%s lists %d of %d requests", p.name, n, want))
 		}
 	}
+	if want > 0 {
+		s.checkLift(ctx)
+	}
+}
+
+func (s *soak) checkLift(ctx context.Context) {
+	prints, _ := listed(ctx, s.fleet.controls[0])
+	for _, print := range prints {
+		if status, _, err := call(ctx, metricsOf(s.fleet.controls[0]), hingeplatform.Call{
+			Method: http.MethodDelete,
+			Path:   poisonRoute + "/" + print,
+		}); err != nil || status != http.StatusOK {
+			s.book.broken("lets a request run again", print, fmt.Sprintf("status %d, %v", status, err))
+		}
+	}
+	path, before := s.book.poisonFound()
+	p := newPoisoner(s.fleet, s.book, s.options.Seed, 0)
+	p.path = path
+	if !waitFor(ctx, recoverTime, func() bool {
+		p.once(ctx)
+		return s.book.endedUnder(path) > before
+	}) {
+		s.book.broken("lets a request run again", path, "no server ended under it since it was lifted")
+	}
 }
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -191,7 +191,7 @@
 		s.book.broken("recovers", "", fmt.Sprintf("%d of %d requests are answered after the faults", good, settled))
 	}
 	operator.readAll(ctx)
-	s.readLists(ctx)
+	s.checkLists(ctx)
 }
 
 func waitFor(ctx context.Context, most time.Duration, f func() bool) bool {
