--- a/internal/capacity/hingeplacer/poison_test.go
+++ b/internal/capacity/hingeplacer/poison_test.go
@@ -248,8 +248,8 @@
 			},
 		},
 	})
-	if j := p.judge(now, "model", 7, nil); !j.Refused {
-		t.Errorf("after an old answer: %+v", j)
+	if j := p.judge(now, "model", 7, nil); !j.Refused || len(l.list.Refused()) != 1 {
+		t.Errorf("after an old answer: %+v, the list has %+v", j, l.list.Records)
 	}
 	l.today = l.today.Add(time.Hour)
 	now = now.Add(time.Hour)
