--- a/internal/observe/hingeaccount/account.go
+++ b/internal/observe/hingeaccount/account.go
@@ -72,7 +72,8 @@
 	Zones map[hingeids.HostID]hingeids.Zone
 	// Dropped is how many lines their writers dropped.
 	Dropped int64
-	// Unnamed is how many requests were denied, or refused beyond a quota, that have no line of their own (hingeproxy bounds these).
+	// Unnamed is how many requests were denied, or refused beyond a quota or because servers end under them, that have no line of
+	// their own (hingeproxy bounds these).
 	Unnamed int64
 
 	requests map[string]*Request
@@ -179,6 +180,9 @@
 	case hingeevents.RequestOverQuota:
 		r.end(l.At, Refused, "beyond the customer's quota")
 		a.Unnamed += l.Fields.Count - 1
+	case hingeevents.PoisonRefused:
+		r.end(l.At, Refused, "servers end under it")
+		a.Unnamed += l.Fields.Count - 1
 	case hingeevents.RequestDenied:
 		r.end(l.At, Denied, verdictOf(l.Fields.Detail))
 		a.Unnamed += l.Fields.Count - 1
--- a/internal/observe/hingeaccount/account_test.go
+++ b/internal/observe/hingeaccount/account_test.go
@@ -62,7 +62,7 @@
 	want := map[Outcome]int{
 		OnTime:  3,
 		Late:    2,
-		Refused: 2,
+		Refused: 3,
 		Failed:  2,
 		Denied:  1,
 		Gone:    1,
--- a/internal/observe/hingeaccount/tables.go
+++ b/internal/observe/hingeaccount/tables.go
@@ -47,7 +47,7 @@
 		fmt.Fprintf(&b, "%d lines were dropped by their writers: what follows lacks them.\n\n", a.Dropped)
 	}
 	if a.Unnamed > 0 {
-		fmt.Fprintf(&b, "%d requests that were denied or beyond a quota have no line of their own, and aren't counted here.\n\n", a.Unnamed)
+		fmt.Fprintf(&b, "%d requests that were denied, beyond a quota or refused because servers end under them have no line of their own, and aren't counted here.\n\n", a.Unnamed)
 	}
 	a.writeCounts(&b, "route", By(list, func(r *Request) string {
 		return r.Route
