Servers are counted only for a request that enough of them ended under

A placer counted the servers of a service, which goes over thousands of them, for each request that any had ended under: after a zone's crash that would be each of tens of thousands of requests that come again. The verdicts are the same.

--- a/internal/decide/hingepoison/book.go
+++ b/internal/decide/hingepoison/book.go
@@ -198,7 +198,8 @@
 	}
 }
 
-// Judge tells what to do with a request; servers counts those of its service, which is asked only where something is known.
+// Judge tells what to do with a request; servers counts those of its service, which takes a while with thousands of them and is asked only
+// where enough of them ended.
 func (b *Book) Judge(now time.Time, p hingeids.Print, l Listed, servers func() int) Judgement {
 	switch {
 	case l.There && l.Wait > 0:
@@ -219,7 +220,7 @@
 	if s == nil || len(s.ends) == 0 {
 		return Judgement{}
 	}
-	count, chance := b.against(now, p, s, servers())
+	count, chance := b.against(now, p, s, servers)
 	if count < enoughEnds || chance >= byChance {
 		return Judgement{
 			Suspect: true,
@@ -235,12 +236,12 @@
 }
 
 // against gives what speaks against a request (rule 3): how many ends no other explains, and how likely chance brought them.
-func (b *Book) against(now time.Time, p hingeids.Print, s *suspect, servers int) (int, float64) {
+func (b *Book) against(now time.Time, p hingeids.Print, s *suspect, servers func() int) (int, float64) {
 	count, chance := 0, 1.0
 	if len(s.ends) < enoughEnds {
 		return count, chance
 	}
-	rate := b.rate(now, s, servers)
+	rate := b.rate(now, s, servers())
 	for id, x := range s.ends {
 		if b.explainedBy(p, s, id) {
 			continue
