A pace that is named too late, or too early, for a quota

The pace counts only once the book has counted for a window: before, callers that come at once say little.

--- a/internal/decide/hingequota/book.go
+++ b/internal/decide/hingequota/book.go
@@ -339,7 +339,9 @@
 
 func (b *Book) noteTight(now time.Time, c hingeids.CallerID, a *account, quota hingeids.Units) {
 	used := float64(a.used())
-	if used > tightShare*float64(quota) || used+a.soonAsked(now) > float64(quota) {
+	// After a change of placer, or a loss of all power, callers come at once: their pace says little.
+	settled := now.Sub(b.began) > b.terms.Window
+	if used > tightShare*float64(quota) || settled && used+a.soonAsked(now) > float64(quota) {
 		b.tight[c] = now
 	}
 }
--- a/internal/decide/hingequota/sim_test.go
+++ b/internal/decide/hingequota/sim_test.go
@@ -131,9 +131,14 @@
 	// owes says that a host has to tell its placer all, wasCut that it was cut off at the last tick.
 	owes   []bool
 	wasCut []bool
-	random *rand.Rand
+	// changed says that a host has begun a stream since its last report.
+	changed []bool
+	random  *rand.Rand
 	// quietTill is until when no leader answers.
 	quietTill time.Time
+	// zones are the placers of zones, which place while nobody leads; none if hosts are alone then. quietFrom is when nobody led last.
+	zones     []*Book
+	quietFrom time.Time
 	// reportsEvery is how many ticks a host lets pass between its reports; zero is none. Ticks counts them.
 	reportsEvery int
 	ticks        int
@@ -156,6 +161,7 @@
 func (w *counted) restart(now time.Time) {
 	w.ledgers, w.lones, w.owes = nil, nil, make([]bool, w.hosts)
 	w.wasCut = make([]bool, w.hosts)
+	w.changed = make([]bool, w.hosts)
 	for i := range w.hosts {
 		l := NewLedger(now, w.terms)
 		w.ledgers = append(w.ledgers, l)
@@ -171,6 +177,12 @@
 	c.Doubtful = w.ledgers[i].Doubts(now, c.Customer)
 	book := w.lead
 	switch {
+	case now.Before(w.quietTill) && now.Sub(w.quietFrom) > noticeTime && len(w.zones) > 0:
+		book = w.zones[i%len(w.zones)]
+		if !book.Begun(false) {
+			book.Begin(now, false)
+		}
+		w.tell(now, i, book)
 	case now.Before(w.quietTill), cut && !w.zonePlaces:
 		ok := w.lones[i].Admit(now, c, w.quota, w.hosts, lot).Admitted
 		w.owes[i] = w.owes[i] || ok
@@ -185,17 +197,32 @@
 	}
 	book.Settle(now, host(i), c, true)
 	w.ledgers[i].Add(now, c)
+	w.changed[i] = true
 	return true
 }
 
 // electionTime is how long nobody leads, downTime how long nothing is served after all hosts have lost power.
+// noticeTime is how long control hosts take to notice that nobody leads.
 const (
 	electionTime = 700 * time.Millisecond
+	noticeTime   = 500 * time.Millisecond
 	downTime     = 2 * time.Second
 )
 
+// tell has a host tell a placer that doesn't know it all that it has used.
+func (w *counted) tell(now time.Time, i int, book *Book) {
+	if book.Hear(now, host(i)) {
+		uses, knows := w.ledgers[i].Uses(now)
+		book.Tell(now, host(i), uses, knows)
+	}
+}
+
 func (w *counted) leader(now time.Time, lost bool) {
+	w.quietFrom = now
 	w.quietTill = now.Add(electionTime)
+	for _, z := range w.zones {
+		z.End()
+	}
 	w.lead.End()
 	// A host reports to each new placer, if only that it has nothing.
 	for i := range w.owes {
@@ -233,9 +260,10 @@
 			}
 			book = w.parted
 		}
-		if w.ledgers[i].Empty(now) && !w.owes[i] || w.reportsEvery > 0 && (w.ticks+i)%w.reportsEvery != 0 {
+		if w.ledgers[i].Empty(now) && !w.owes[i] || w.reportsEvery > 0 && (w.ticks+i)%w.reportsEvery != 0 && !w.changed[i] {
 			continue
 		}
+		w.changed[i] = false
 		if book.Hear(now, host(i)) || w.owes[i] {
 			uses, knows := w.ledgers[i].Uses(now)
 			book.Tell(now, host(i), uses, knows)
@@ -536,7 +564,9 @@
 		for _, rate := range modelRates {
 			s.quota = modelQuota(rate)
 			for after := time.Duration(0); after <= 4*time.Second; after += 200 * time.Millisecond {
-				for seed := range uint64(2) {
+				for seed := range uint64(4) {
+					// While nobody leads hosts are alone, or ask the control hosts of their zones.
+					zones := 6 * int(seed%2)
 					x := trouble{
 						name:      fmt.Sprint("the placer dies ", after, " after it turns hot"),
 						hot:       10,
@@ -545,6 +575,9 @@
 					}
 					w := newCounted(s, dayStart.Add(-2*s.terms.Window), false)
 					w.reportsEvery = 5
+					for range zones {
+						w.zones = append(w.zones, NewBook(s.terms))
+					}
 					checkBound(t, s, x, play(s, x, w, seed))
 				}
 			}
--- a/internal/decide/hingequota/terms.go
+++ b/internal/decide/hingequota/terms.go
@@ -107,7 +107,7 @@
 	tightShare = 0.75
 	// soon is how long hosts may go by what they were told last: until the next word, an election, and graceTime. A customer whose
 	// pace would fill its quota within it is tight too, however little it has used.
-	soon = 2 * time.Second
+	soon = 3 * time.Second
 	// givenShare is the part of the margin that is given out while all hosts are heard, for a customer that comes close to its quota
 	// in a burst. nearlyAll is the share of uses that may be unknown then.
 	givenShare = 0.15
