The ledger of ends has one list of a kind, and no change of the poison list is dropped without a line

The ledger kept ends and whole answers by two copies of the same trimming, telling and expiring: one generic type serves both. Decisions, bounds and tests are as they were.

--- a/internal/decide/hingepoison/ledger.go
+++ b/internal/decide/hingepoison/ledger.go
@@ -11,46 +11,62 @@
 
 // Ledger is what one host has seen (rule 2). It is for one goroutine.
 type Ledger struct {
-	ends   []seenEnd
-	passes []seenPass
-	// to is the placer that knows the first told ends and passes.
-	to         hingeids.HostID
-	toldEnds   int
-	toldPasses int
+	ends   seen[End]
+	passes seen[hingeids.Print]
+	// to is the placer that was told.
+	to hingeids.HostID
 }
 
-type seenEnd struct {
-	at  time.Time
-	end End
+// seen is facts of one kind, the oldest first, of which a placer knows the first told.
+type seen[T any] struct {
+	facts []fact[T]
+	told  int
 }
 
-type seenPass struct {
-	at    time.Time
-	print hingeids.Print
+type fact[T any] struct {
+	at   time.Time
+	what T
 }
 
-// End notes an end that this host has seen.
-func (l *Ledger) End(now time.Time, e End) {
-	l.ends = append(l.ends, seenEnd{
-		at:  now,
-		end: e,
+func (s *seen[T]) add(now time.Time, what T) {
+	s.facts = append(s.facts, fact[T]{
+		at:   now,
+		what: what,
 	})
-	if over := len(l.ends) - mostKept; over > 0 {
-		l.ends = l.ends[over:]
-		l.toldEnds = max(l.toldEnds-over, 0)
+	s.drop(len(s.facts) - mostKept)
+}
+
+// drop forgets so many of the oldest.
+func (s *seen[T]) drop(n int) {
+	if n <= 0 {
+		return
 	}
+	s.facts = s.facts[n:]
+	s.told = max(s.told-n, 0)
+}
+
+// untold drops what no placer would remember, and gives what isn't told of the rest.
+func (s *seen[T]) untold(now time.Time) []fact[T] {
+	old := 0
+	for old < len(s.facts) && now.Sub(s.facts[old].at) > suspectTime {
+		old++
+	}
+	s.drop(old)
+	return s.facts[s.told:]
+}
+
+func (s *seen[T]) tell(n int) {
+	s.told = min(s.told+n, len(s.facts))
+}
+
+// End notes an end that this host has seen.
+func (l *Ledger) End(now time.Time, e End) {
+	l.ends.add(now, e)
 }
 
 // Pass notes that a suspected request was answered whole.
 func (l *Ledger) Pass(now time.Time, p hingeids.Print) {
-	l.passes = append(l.passes, seenPass{
-		at:    now,
-		print: p,
-	})
-	if over := len(l.passes) - mostKept; over > 0 {
-		l.passes = l.passes[over:]
-		l.toldPasses = max(l.toldPasses-over, 0)
-	}
+	l.passes.add(now, p)
 }
 
 // Untold gives what a placer hasn't been told.
@@ -59,18 +75,17 @@
 		l.Forgotten()
 		l.to = to
 	}
-	l.expire(now)
 	var ends []End
-	for _, s := range l.ends[l.toldEnds:] {
-		e := s.end
-		e.Ago += now.Sub(s.at)
+	for _, f := range l.ends.untold(now) {
+		e := f.what
+		e.Ago += now.Sub(f.at)
 		ends = append(ends, e)
 	}
 	var passes []Pass
-	for _, s := range l.passes[l.toldPasses:] {
+	for _, f := range l.passes.untold(now) {
 		passes = append(passes, Pass{
-			Print: s.print,
-			Ago:   now.Sub(s.at),
+			Print: f.what,
+			Ago:   now.Sub(f.at),
 		})
 	}
 	return ends, passes
@@ -81,24 +96,12 @@
 	if to != l.to {
 		return
 	}
-	l.toldEnds = min(l.toldEnds+ends, len(l.ends))
-	l.toldPasses = min(l.toldPasses+passes, len(l.passes))
+	l.ends.tell(ends)
+	l.passes.tell(passes)
 }
 
 // Forgotten notes that the placer knows nothing any more.
 func (l *Ledger) Forgotten() {
-	l.toldEnds = 0
-	l.toldPasses = 0
-}
-
-// expire drops what no placer would remember.
-func (l *Ledger) expire(now time.Time) {
-	for len(l.ends) > 0 && now.Sub(l.ends[0].at) > suspectTime {
-		l.ends = l.ends[1:]
-		l.toldEnds = max(l.toldEnds-1, 0)
-	}
-	for len(l.passes) > 0 && now.Sub(l.passes[0].at) > suspectTime {
-		l.passes = l.passes[1:]
-		l.toldPasses = max(l.toldPasses-1, 0)
-	}
+	l.ends.told = 0
+	l.passes.told = 0
 }
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -30,6 +30,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
@@ -96,7 +97,7 @@
 	// the lock of whoever answers hundreds of followers.
 	entries atomic.Int64
 	// changes are those of the list of requests that end servers which wait to be agreed on.
-	changes chan hingeshared.Change
+	changes chan hingepoison.Record
 	// refusals are the announcements that weren't taken.
 	refusals refusals
 	done     chan struct{}
@@ -107,7 +108,7 @@
 	c := &Control{
 		options: o,
 		machine: hingeshared.New(),
-		changes: make(chan hingeshared.Change, listQueue),
+		changes: make(chan hingepoison.Record, listQueue),
 		done:    make(chan struct{}),
 	}
 	c.world.Store(hingeworld.Build(nil, nil))
--- a/internal/serve/hingecontrol/operators.go
+++ b/internal/serve/hingecontrol/operators.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/swifthinge/swifthinge/internal/agreement/hingeshared"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
@@ -95,9 +94,7 @@
 		tellOperator(w, http.StatusBadRequest, "a print is sixteen hexadecimal digits")
 		return
 	}
-	if err := o.Control.proposeChange(ctx, hingeshared.Change{
-		Record: of(p),
-	}); err != nil {
+	if err := o.Control.proposeRecord(ctx, of(p)); err != nil {
 		tellOperator(w, http.StatusServiceUnavailable, err.Error())
 		return
 	}
--- a/internal/serve/hingecontrol/poison.go
+++ b/internal/serve/hingecontrol/poison.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeshared"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -30,11 +32,13 @@
 	return c.Poisons().Load().At(time.Now(), p)
 }
 
-// Agree has a record put on the list.
+// Agree hands a record to whoever proposes it, who waits for disks. The placer mustn't.
 func (c *Control) Agree(r hingepoison.Record) {
-	c.list(hingeshared.Change{
-		Record: r,
-	})
+	select {
+	case c.changes <- r:
+	default:
+		c.notAgreed(r, eris.New("too many changes wait"))
+	}
 }
 
 // WriteMetrics writes the control host's metrics as text.
@@ -43,34 +47,33 @@
 	_, _ = fmt.Fprintf(w, "swifthinge_poison_requests %d\n", len(c.Poisons().Load().Refused()))
 }
 
-// list hands a change to whoever proposes them, who waits for disks. The placer mustn't.
-func (c *Control) list(x hingeshared.Change) {
-	select {
-	case c.changes <- x:
-	default:
-	}
-}
-
 // proposeList has changes of the list agreed on.
 func (c *Control) proposeList(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case x := <-c.changes:
-			if err := c.proposeChange(ctx, x); err != nil {
-				// The placer, or the next leader's, asks for it again.
-				c.options.Recorder.Record(time.Now(), hingeevents.PoisonNotAgreed, hingeevents.Fields{
-					Print:  x.Record.Print,
-					Detail: err.Error(),
-				})
+		case r := <-c.changes:
+			if err := c.proposeRecord(ctx, r); err != nil {
+				c.notAgreed(r, err)
 			}
 		}
 	}
 }
 
-func (c *Control) proposeChange(ctx context.Context, x hingeshared.Change) error {
-	body, err := x.Encode()
+// notAgreed records a change that came to nothing. The placer, or the next leader's, asks for a request that was found again; one that was
+// tried stays due, and is tried again.
+func (c *Control) notAgreed(r hingepoison.Record, err error) {
+	c.options.Recorder.Record(time.Now(), hingeevents.PoisonNotAgreed, hingeevents.Fields{
+		Print:  r.Print,
+		Detail: err.Error(),
+	})
+}
+
+func (c *Control) proposeRecord(ctx context.Context, r hingepoison.Record) error {
+	body, err := hingeshared.Change{
+		Record: r,
+	}.Encode()
 	if err != nil {
 		return err
 	}
