--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -60,6 +60,7 @@
 	quotas   quotaState
 	// crashes records the server crashes and complete answers that this host has observed.
 	crashes hingepoison.Ledger
+	notices noticeState
 	// lastAnswered is the last placer that answered a request.
 	lastAnswered hingeids.HostID
 }
--- a/internal/core/hingeids/ids.go
+++ b/internal/core/hingeids/ids.go
@@ -120,6 +120,9 @@
 // BytesPerSecond is the throughput of a link.
 type BytesPerSecond int64
 
+// RequestsPerSecond is a rate of requests.
+type RequestsPerSecond float64
+
 // Slots is a number of decode slots. A decode engine holds one request in each.
 type Slots int
 
--- /dev/null
+++ b/internal/decide/hingenotice/parse.go
@@ -0,0 +1,55 @@
+package hingenotice
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
+
+const (
+	// minRateLimit replaces lower limits, also zero: one request in ten seconds finds out whether the
+	// limit still holds.
+	minRateLimit hingeids.RequestsPerSecond = 0.1
+	// maxRateLimit replaces higher limits, which restrict nothing.
+	maxRateLimit hingeids.RequestsPerSecond = 1e6
+)
+
+// ParseRateLimit parses the values of a header that names a rate limit, a decimal number of requests a
+// second. It returns zero if there is no such header, and zero with an error for a value that can't be
+// read: one that is negative, not a finite number, or differs from another value of the same answer.
+func ParseRateLimit(values []string) (hingeids.RequestsPerSecond, error) {
+	if len(values) == 0 {
+		return 0, nil
+	}
+	text, err := single(values)
+	if err != nil {
+		return 0, err
+	}
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		return 0, eris.Errorf("rate limit %q isn't a number of requests a second", truncated(text))
+	}
+	return min(max(hingeids.RequestsPerSecond(limit), minRateLimit), maxRateLimit), nil
+}
+
+// single returns the value of a header that may occur several times with the same value.
+func single(values []string) (string, error) {
+	text := strings.TrimSpace(values[0])
+	for _, other := range values[1:] {
+		if strings.TrimSpace(other) != text {
+			return "", eris.Errorf("header has the values %q and %q", truncated(text), truncated(other))
+		}
+	}
+	return text, nil
+}
+
+// maxLoggedValue bounds the length of a header value in a log line, in bytes.
+const maxLoggedValue = 40
+
+func truncated(text string) string {
+	return text[:min(len(text), maxLoggedValue)]
+}
--- a/internal/observe/hingeevents/path.go
+++ b/internal/observe/hingeevents/path.go
@@ -22,6 +22,8 @@
 	RequestOverQuota    Number = 117
 	ServerEnded         Number = 118
 	PoisonRefused       Number = 119
+	ServerNoticed       Number = 120
+	ServerNoticeUnread  Number = 121
 )
 
 var pathEntries = []Entry{
@@ -148,4 +150,17 @@
 		Severity:    Info,
 		Description: "A poison request, which crashes servers, was refused; count is the number of requests that this event stands for, took the time until a retry may be accepted.",
 	},
+	{
+		Number:      ServerNoticed,
+		Name:        "serverNoticed",
+		Severity:    Info,
+		Description: "A backend server stated in an answer to this host that it is in need, or no longer; detail has what it stated, count is the number of statements that this event stands for.",
+	},
+	{
+		Number:      ServerNoticeUnread,
+		Name:        "serverNoticeUnread",
+		Severity:    Warning,
+		Description: "A backend server stated something about itself in a header that can't be read, which counts as absent; count is the number of answers that this event stands for.",
+		Action:      "Correct the header at the server.",
+	},
 }
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -73,6 +73,7 @@
 		return p.decodeFailed(ctx, r, verdictOf(err))
 	}
 	reply := p.dialect.Reply(dial.exchange.Response)
+	p.recordNotice(r.job, placed.Decode, reply, r.sentAt)
 	if err := p.checkReply(r.job, dial.exchange.Response, reply); err != nil {
 		return p.decodeFailed(ctx, r, verdictOf(err))
 	}
--- a/internal/path/hingeproxy/metrics.go
+++ b/internal/path/hingeproxy/metrics.go
@@ -52,6 +52,10 @@
 	// while they had a request.
 	poisonRefusals *metrics.Counter
 	crashes        *metrics.Counter
+	// noticeChanges counts the statements of servers that changed what this host knows of them; unreadNotices counts
+	// the answers with a statement that couldn't be read.
+	noticeChanges *metrics.Counter
+	unreadNotices *metrics.Counter
 }
 
 func newMeter() *meter {
@@ -64,6 +68,8 @@
 		firstEventSeconds: s.NewHistogram("swifthinge_first_event_seconds"),
 		poisonRefusals:    s.NewCounter("swifthinge_poison_refused_total"),
 		crashes:           s.NewCounter("swifthinge_servers_ended_total"),
+		noticeChanges:     s.NewCounter("swifthinge_server_notices_total"),
+		unreadNotices:     s.NewCounter("swifthinge_server_notices_unread_total"),
 	}
 }
 
--- /dev/null
+++ b/internal/path/hingeproxy/notice.go
@@ -0,0 +1,50 @@
+package hingeproxy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
+	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
+)
+
+// recordNotice records what a server states about itself in its answer to a request that was sent at sentAt.
+func (p *Proxy) recordNotice(j *job, id hingeids.ServerID, reply Reply, sentAt time.Time) {
+	if reply.ServerReplaced || reply.ID != "" && reply.ID != j.info.ID {
+		// The answer is another server's, or belongs to another request.
+		return
+	}
+	now := p.settings.Clock()
+	if reply.NoticeError != nil {
+		p.meter.unreadNotices.Inc()
+		if count, ok := p.unreadNotices.allow(now); ok {
+			p.settings.Recorder.Record(now, hingeevents.ServerNoticeUnread, hingeevents.Fields{
+				CallerRequestID: string(j.info.ID),
+				Server:          id,
+				Count:           count,
+				Detail:          reply.NoticeError.Error(),
+			})
+		}
+	}
+	if !p.owner.RecordNotice(j.service, id, reply.Notice, sentAt) {
+		return
+	}
+	p.meter.noticeChanges.Inc()
+	if count, ok := p.notices.allow(now); ok {
+		p.settings.Recorder.Record(now, hingeevents.ServerNoticed, hingeevents.Fields{
+			CallerRequestID: string(j.info.ID),
+			Server:          id,
+			Count:           count,
+			Detail:          describe(reply.Notice),
+		})
+	}
+}
+
+// describe returns a notice as a log line contains it.
+func describe(n hingenotice.Notice) string {
+	if n.RateLimit == 0 {
+		return "no rate limit"
+	}
+	return fmt.Sprintf("rate limit %.4g/s", float64(n.RateLimit))
+}
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -186,6 +186,7 @@
 	if address == "" {
 		return nil, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, 0, eris.New("server no longer accepts requests"))
 	}
+	sentAt := p.settings.Clock()
 	x, err := hingewire.Do(ctx, address, j.message(p.dialect, ForwardInfo{
 		Server:      c.Server,
 		Remaining:   p.remaining(j),
@@ -196,6 +197,7 @@
 	}
 	defer x.Close()
 	reply := p.dialect.Reply(x.Response)
+	p.recordNotice(j, c.Server, reply, sentAt)
 	if err := p.checkReply(j, x.Response, reply); err != nil {
 		return nil, err
 	}
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -31,6 +31,7 @@
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/decide/hingeretry"
@@ -89,6 +90,9 @@
 	ServerReplaced bool
 	// Sealed is set if the answer carries the server's seal.
 	Sealed bool
+	// Notice is what the server states about itself. NoticeError is set if a value of it can't be read.
+	Notice      hingenotice.Notice
+	NoticeError error
 }
 
 // Dialect translates between headers and typed values.
@@ -152,6 +156,8 @@
 	waiting        int
 	denials        logLimiter
 	poisonRefusals logLimiter
+	notices        logLimiter
+	unreadNotices  logLimiter
 }
 
 var _ hingewire.Handler = (*Proxy)(nil)
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -24,6 +24,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/decide/hingeretry"
@@ -71,11 +72,16 @@
 }
 
 func (testDialect) Reply(r *http.Response) Reply {
+	rateLimit, err := hingenotice.ParseRateLimit(r.Header.Values("Rate-Limit"))
 	return Reply{
 		ID:             RequestID(r.Header.Get("Id")),
 		NotRun:         r.Header.Get("Not-Run") != "",
 		ServerReplaced: r.StatusCode == http.StatusMisdirectedRequest,
 		Sealed:         r.Header.Get("Vouched") != "",
+		Notice: hingenotice.Notice{
+			RateLimit: rateLimit,
+		},
+		NoticeError: err,
 	}
 }
 
