--- /dev/null
+++ b/internal/path/hingeproxy/notice_test.go
@@ -0,0 +1,100 @@
+package hingeproxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+)
+
+// replyWith answers a request to a plain service with one more header.
+func replyWith(c net.Conn, q *http.Request, header string) {
+	const body = "lot 7 is alive"
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nVouched: 1\r\n%s\r\nContent-Length: %d\r\n\r\n%s",
+		q.Header.Get("Id"), header, len(body), body)
+}
+
+// sendFor sends requests from each host, one after the other with the given pause, and returns what each caller got.
+func sendFor(hosts []*testProxy, target string, pause, length time.Duration) []result {
+	var mu sync.Mutex
+	var out []result
+	var group sync.WaitGroup
+	for _, d := range hosts {
+		group.Go(func() {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(pause) {
+				r := d.send(target)
+				mu.Lock()
+				out = append(out, r)
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return out
+}
+
+// Guards against a replica that gets more requests than the rate limit that it names in its answers. Its only relief
+// is that the router sends less.
+func TestReplicaGetsNoMoreThanItsRateLimit(t *testing.T) {
+	const limit, length = 5, 2 * time.Second
+	limited := newStandin(t, "limited", 0, func(_ int, q *http.Request, c net.Conn) bool {
+		replyWith(c, q, fmt.Sprint("Rate-Limit: ", limit))
+		return true
+	})
+	free := newStandin(t, "free", 0, nil)
+	answers := sendFor(newTestProxies(t, 3, limited, free), "/lookup/7", 10*time.Millisecond, length)
+	most := int(limit*length.Seconds()) + 5
+	if n := limited.ran(); n > most {
+		t.Errorf("%d requests in %v at a limit of %d a second, want at most %d", n, length, limit, most)
+	}
+	for _, a := range answers {
+		if a.Status != http.StatusOK {
+			t.Fatalf("status %d beside a replica without limit", a.Status)
+		}
+	}
+}
+
+// Guards against engines that get more streams than the rate limit that they name, at the prefill as well as at the
+// decode.
+func TestEnginesGetNoMoreThanTheirRateLimit(t *testing.T) {
+	const limit, length = 4, 2 * time.Second
+	prefill := newStandin(t, "prefill", hingefleet.Prefill, func(n int, _ *http.Request, c net.Conn) bool {
+		body := fmt.Sprintf(`{"handle":"h%d"}`, n)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRate-Limit: %d\r\nContent-Length: %d\r\n\r\n%s", limit, len(body), body)
+		return true
+	})
+	decode := newStandin(t, "decode", hingefleet.Decode, func(_ int, q *http.Request, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nVouched: 1\r\nRate-Limit: %d\r\nTransfer-Encoding: chunked\r\n\r\n",
+			q.Header.Get("Id"), limit)
+		events(c, firstRequested(q), 5, true)
+		return true
+	})
+	sendFor(newTestProxies(t, 3, prefill, decode), "/dossier/7", 10*time.Millisecond, length)
+	most := int(limit*length.Seconds()) + 5
+	for _, s := range []*standin{prefill, decode} {
+		if n := s.ran(); n > most {
+			t.Errorf("%s: %d requests in %v at a limit of %d a second, want at most %d", s.id, n, length, limit, most)
+		}
+	}
+}
+
+// Guards against an answer that is lost because a header of it that names a limit can't be read.
+func TestUnreadableNoticeIsForwarded(t *testing.T) {
+	replica := newStandin(t, "replica", 0, func(_ int, q *http.Request, c net.Conn) bool {
+		replyWith(c, q, "Rate-Limit: soon\r\nRate-Limit: 3")
+		return true
+	})
+	d := newTestProxy(t, replica)
+	for range 3 {
+		if a := d.send("/lookup/7"); a.Status != http.StatusOK || a.Body != "lot 7 is alive" {
+			t.Fatalf("got %+v", a)
+		}
+	}
+	if n := d.proxy.meter.unreadNotices.Get(); n != 3 {
+		t.Errorf("%d answers counted, want 3", n)
+	}
+}
