Servers get no more requests than the rate limit that they name

Change: the limit is kept where requests are placed. Queue (hingebalance) and fleet (hingefleet) space the requests of all hosts with a limiter for each server that named a limit (hingenotice), which is neither an ejection nor a pause: no probe and no last resort goes there meanwhile. Requests wait for it like for a full replica, and are refused at once if its rate says that they would wait too long; Retry-After follows from that rate. The limit travels with each outcome; each host keeps what it was told and reports it to a placer that doesn't know it. A limit takes effect at once and is eased only by the answer to a request sent after it was last stated. A host that places locally sends in short turns, one in hosts / (limit / 2) seconds and at times of its own, so that such hosts together stay within the limit at any number; a control host without a leader uses half.

--- a/internal/capacity/hingeplacer/calls.go
+++ b/internal/capacity/hingeplacer/calls.go
@@ -190,6 +190,7 @@
 	for s, q := range p.queues {
 		replicas := p.servers.Replicas(s)
 		q.SetReplicas(replicas)
+		q.SetPart(p.limitPart())
 		if len(replicas) == 0 {
 			p.returnQueuedCalls(now, q)
 			continue
--- a/internal/capacity/hingeplacer/crashes.go
+++ b/internal/capacity/hingeplacer/crashes.go
@@ -36,6 +36,7 @@
 	if err != nil {
 		return
 	}
+	o.notices.recordReported(to, r.statementsUpTo, reply.NeedsUsage)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if reply.NeedsUsage {
--- a/internal/capacity/hingeplacer/local.go
+++ b/internal/capacity/hingeplacer/local.go
@@ -11,6 +11,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 )
 
@@ -202,6 +203,14 @@
 	return s.view.EntryHosts()
 }
 
+// limitPart returns the part of the servers' rate limits for a host that places locally, beside all others.
+func (s localShare) limitPart() hingenotice.Part {
+	return hingenotice.Part{
+		Hosts: max(s.view.EntryHosts(), 1),
+		Host:  s.self,
+	}
+}
+
 // IsElectedLeader returns false, since the host places only its own requests.
 func (localShare) IsElectedLeader() bool {
 	return false
--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
@@ -143,6 +144,10 @@
 	// received yet.
 	Crashes     []hingepoison.Crash      `cbor:"8,keyasint,omitempty"`
 	Completions []hingepoison.Completion `cbor:"9,keyasint,omitempty"`
+	// Statements are what servers have stated in answers to the owner, as far as the placer hasn't received it yet.
+	Statements []hingenotice.Statement `cbor:"10,keyasint,omitempty"`
+	// statementsUpTo is the owner's number of changes up to which Statements has them.
+	statementsUpTo uint64
 }
 
 type reportReply struct {
--- a/internal/capacity/hingeplacer/notices.go
+++ b/internal/capacity/hingeplacer/notices.go
@@ -8,17 +8,95 @@
 	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
-// noticeState is what an owner knows of the statements of servers in their answers. It has a lock of its own, since
-// every answer is compared with it.
+// noticeState is what an owner knows of the statements of servers in their answers (rule 9). It has a lock of its own,
+// since every answer is compared with it.
 type noticeState struct {
 	mu    sync.Mutex
 	known hingenotice.Known
+	// reported is the number of changes that the placer reportedTo has received.
+	reported   uint64
+	reportedTo hingeids.HostID
+	sweepAt    time.Time
 }
 
+// noticeSweepInterval is the interval between searches for statements of servers that are gone.
+const noticeSweepInterval = 10 * time.Second
+
 // RecordNotice records what a server has stated in its answer to a request sent at sentAt, and reports whether this
 // changes what the host knows of it.
-func (o *Owner) RecordNotice(s hingeids.Service, id hingeids.ServerID, n hingenotice.Notice, sentAt time.Time) bool {
+func (o *Owner) RecordNotice(subject hingenotice.Subject, n hingenotice.Notice, sentAt time.Time) bool {
 	o.notices.mu.Lock()
-	defer o.notices.mu.Unlock()
-	return o.notices.known.Update(o.clock(), sentAt, s, id, n)
+	changed := o.notices.known.Update(o.clock(), sentAt, subject, n)
+	o.notices.mu.Unlock()
+	if changed {
+		o.triggerReport()
+	}
+	return changed
+}
+
+func (s *noticeState) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known.Changes() == s.reported
+}
+
+// unreportedStatements returns the statements that a placer hasn't received, and the number of changes up to which it
+// will have received them.
+func (o *Owner) unreportedStatements(to hingeids.HostID) ([]hingenotice.Statement, uint64) {
+	s := &o.notices
+	now := o.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !now.Before(s.sweepAt) {
+		s.sweepAt = now.Add(noticeSweepInterval)
+		s.known.RemoveExpired(now, func(id hingeids.ServerID) bool {
+			_, found := o.view.Address(id)
+			return !found
+		})
+	}
+	since := s.reported
+	if to != s.reportedTo {
+		since = 0
+	}
+	return s.known.Since(since)
+}
+
+// recordReported records that a placer has received the changes up to a number. A placer that asks for the usage of
+// quotas has just started and knows nothing of this host.
+func (s *noticeState) recordReported(to hingeids.HostID, upTo uint64, restarted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reported, s.reportedTo = upTo, to
+	if restarted {
+		s.reportedTo = ""
+	}
+}
+
+// handleStatements passes an owner's statements to the queues and fleets. They restrict and never ease a restriction:
+// the owner may have received them long ago.
+func (p *Placer) handleStatements(now time.Time, list []hingenotice.Statement) {
+	if len(list) == 0 || !p.leads() {
+		return
+	}
+	for _, s := range list {
+		if s.Engine {
+			p.fleet(s.Service).RecordNotice(now, s.Server, s.Notice)
+			continue
+		}
+		p.queue(s.Service).RecordNotice(now, s.Server, s.Notice)
+	}
+}
+
+// leaderlessShare is the share of the rate limits that a control host without a leader uses. Another one may place
+// requests of the same zone, and in other zones the leader does.
+const leaderlessShare = 0.5
+
+// controlPart returns the part of the rate limits for a control host: all of them for the leader.
+func controlPart(s Servers) hingenotice.Part {
+	if s.IsElectedLeader() {
+		return hingenotice.Part{}
+	}
+	return hingenotice.Part{
+		Share: leaderlessShare,
+	}
 }
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -12,6 +12,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
@@ -95,13 +96,15 @@
 		quotas:   newQuotaState(clock(), params),
 	}
 	link.HandleDatagram(methodPlaced, o.handlePlaced)
-	o.local = New(localShare{
+	share := localShare{
 		self:     self,
 		view:     v,
 		replicas: make(map[hingeids.Service]localReplicas),
-	}, nil, func() bool {
+	}
+	o.local = New(share, nil, func() bool {
 		return true
 	}, clock, params)
+	o.local.limitPart = share.limitPart
 	return o
 }
 
@@ -228,13 +231,15 @@
 	return s
 }
 
-// RecordOutcome reports the outcome of the stream at an engine to the placer.
-func (s *Stream) RecordOutcome(server hingeids.ServerID, o hingefleet.Outcome) {
+// RecordOutcome reports the outcome of the stream at an engine to the placer, with what the engine has just stated in
+// its answer.
+func (s *Stream) RecordOutcome(server hingeids.ServerID, o hingefleet.Outcome, n hingenotice.Notice) {
 	s.owner.queueOutcome(s.service, hingefleet.OutcomeReport{
 		Server:    server,
 		Outcome:   o,
 		Stream:    s.progress.ID,
 		Generated: s.generated(),
+		Notice:    n,
 	})
 }
 
@@ -318,7 +323,7 @@
 func (o *Owner) idle() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.streams) == 0 && o.quotas.idle(o.clock())
+	return len(o.streams) == 0 && o.quotas.idle(o.clock()) && o.notices.idle()
 }
 
 // reportTarget returns the host to report to: the last placer that answered a request if it is still in the list, or
@@ -375,6 +380,7 @@
 	o.outcomes = nil
 	o.quotas.fill(o.clock(), &r)
 	r.Crashes, r.Completions = o.crashes.Unreported(o.clock(), to)
+	r.Statements, r.statementsUpTo = o.unreportedStatements(to)
 	for _, s := range o.streams {
 		r.Streams[s.service] = append(r.Streams[s.service], s.progress)
 	}
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -21,6 +21,9 @@
 //     keeps the crashes that it observed and also reports them to a new placer.
 //  8. Hosts have retry budgets of their own (hingeretry). Where there are so many hosts that the part of each would be
 //     smaller than one retry, the elected leader has the budget, and hosts request each retry from it.
+//  9. The placer keeps the rate limits that servers name in their answers (hingenotice). It learns of
+//     them with the outcome of each request. Each owner keeps what it was told itself and reports it to
+//     a placer that doesn't know it.
 package hingeplacer
 
 import (
@@ -35,6 +38,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
@@ -91,10 +95,12 @@
 	// proposer is nil on a host that can't propose records; its owner reports the crashes to the next placer.
 	proposer Proposer
 	leads    func() bool
-	clock    func() time.Time
-	demands  hingeboard.Cell[map[hingeids.Service]hingefleet.Demand]
-	inbox    chan func(now time.Time)
-	done     chan struct{}
+	// limitPart returns the part of the servers' rate limits that this placer may use (rule 9).
+	limitPart func() hingenotice.Part
+	clock     func() time.Time
+	demands   hingeboard.Cell[map[hingeids.Service]hingefleet.Demand]
+	inbox     chan func(now time.Time)
+	done      chan struct{}
 
 	fleets         map[hingeids.Service]*fleet
 	pendingStreams map[hingefleet.StreamID]pendingRequest[Placement]
@@ -133,9 +139,12 @@
 // New returns a placer. The proposer is nil if the host can't propose poison records.
 func New(s Servers, p Proposer, leads func() bool, clock func() time.Time, params hingequota.Params) *Placer {
 	return &Placer{
-		servers:        s,
-		proposer:       p,
-		leads:          leads,
+		servers:  s,
+		proposer: p,
+		leads:    leads,
+		limitPart: func() hingenotice.Part {
+			return controlPart(s)
+		},
 		clock:          clock,
 		inbox:          make(chan func(now time.Time), inboxSize),
 		done:           make(chan struct{}),
@@ -298,6 +307,7 @@
 		return answer
 	}
 	p.lastSequence[owner] = r.Sequence
+	p.handleStatements(now, r.Statements)
 	p.streamSchedule.changed = true
 	for s := range r.Streams {
 		p.fleet(s)
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -14,6 +14,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
@@ -181,7 +182,7 @@
 	}
 	s := cl.owners[owner].StartStream(r, a)
 	time.AfterFunc(100*time.Millisecond, func() {
-		s.RecordOutcome(a.Prefill, hingefleet.Succeeded)
+		s.RecordOutcome(a.Prefill, hingefleet.Succeeded, hingenotice.Notice{})
 	})
 	return a, s
 }
--- a/internal/capacity/hingeplacer/streams.go
+++ b/internal/capacity/hingeplacer/streams.go
@@ -145,6 +145,7 @@
 	for s, f := range p.fleets {
 		demands[s] = f.Demand(now)
 		f.ApplyChanges(f.feed.Next())
+		f.SetPart(p.limitPart())
 		if f.EngineCount() == 0 {
 			p.returnQueuedStreams(now, f)
 			continue
--- a/internal/decide/hingebalance/balance.go
+++ b/internal/decide/hingebalance/balance.go
@@ -25,7 +25,10 @@
 //  6. A replica gets no more requests in flight than it has slots, plus as many as keep the slots
 //     busy while the next requests are in transit (limit.go). More would wait in the replica's own
 //     queue, where they are indistinguishable from lost requests.
-//  7. A decision evaluates the cheapest replicas only, in the order of an index (index.go), so that
+//  7. A replica that names a rate limit in its answers gets no request before the limit allows it
+//     (hingenotice). That is no failure: it is neither ejected nor probed, and rule 4 doesn't apply to
+//     it. Requests wait for it as for a replica at its limit of requests in flight.
+//  8. A decision evaluates the cheapest replicas only, in the order of an index (index.go), so that
 //     its cost doesn't grow with the replicas.
 package hingebalance
 
@@ -34,6 +37,7 @@
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 // Replica is a replica that currently accepts requests.
@@ -143,7 +147,8 @@
 	listedStates []*state
 	index        index
 	// zones are those from which requests have been sent.
-	zones map[hingeids.Zone]bool
+	zones    map[hingeids.Zone]bool
+	limiters hingenotice.Limiters
 	// turnaround is the idle time of a slot between two requests (rule 6).
 	turnaround time.Duration
 	// rate is the sum of the rates of all replicas at ratedAt.
@@ -172,6 +177,7 @@
 		s = &state{
 			latency: initialLatency,
 			zones:   make(map[hingeids.Zone]*reachability),
+			limiter: b.limiters.Get(id),
 		}
 		b.states[id] = s
 	}
@@ -332,6 +338,11 @@
 // mayUse reports whether a replica that isn't at its limit may get a request of a zone.
 func (b *Balancer) mayUse(now time.Time, s *state, constraints Constraints) bool {
 	b.evaluations++
+	if s.held(now) {
+		// A turn that was not used has passed.
+		b.index.markChanged(s)
+		return false
+	}
 	fromZone := s.reachedFrom(constraints.Zone)
 	return s.eligible(now, constraints) && (fromZone.ejected.duration == 0 || s.open == 0)
 }
@@ -392,6 +403,27 @@
 	}
 }
 
+// RecordNotice records what a replica states in an answer. sentAt is when its request was sent, zero if
+// unknown.
+func (b *Balancer) RecordNotice(now, sentAt time.Time, id hingeids.ServerID, n hingenotice.Notice) {
+	if !b.limiters.Update(now, sentAt, id, n.RateLimit) {
+		return
+	}
+	if s := b.states[id]; s != nil {
+		s.limiter = b.limiters.Get(id)
+		b.index.markChanged(s)
+	}
+}
+
+// SetPart sets the part of the replicas' rate limits that may be used.
+func (b *Balancer) SetPart(p hingenotice.Part) {
+	for _, id := range b.limiters.SetPart(p) {
+		if s := b.states[id]; s != nil {
+			b.index.markChanged(s)
+		}
+	}
+}
+
 // Retain discards the state of all replicas that are not in the list.
 func (b *Balancer) Retain(list []Replica) {
 	b.use(list)
--- a/internal/decide/hingebalance/index.go
+++ b/internal/decide/hingebalance/index.go
@@ -20,6 +20,8 @@
 	zoneNames []hingeids.Zone
 	// paused holds the ejected replicas and those that refused a request, by the end of the pause.
 	paused *tree
+	// held holds the replicas whose rate limit allows no request, by when it does.
+	held *tree
 	// resting holds the replicas without requests in flight, by when they need a probe.
 	resting *tree
 	// latencies holds all replicas by their expected latency.
@@ -58,6 +60,7 @@
 	return index{
 		zones:     make(map[hingeids.Zone]*tree),
 		paused:    newTree(),
+		held:      newTree(),
 		resting:   newTree(),
 		latencies: newTree(),
 	}
@@ -95,9 +98,15 @@
 		}
 	}
 	x.changed = x.changed[:0]
+	b.placeDue(now, x.held)
+	b.placeDue(now, x.paused)
+}
+
+// placeDue moves the replicas of a tree that is ordered by time and whose time has come.
+func (b *Balancer) placeDue(now time.Time, t *tree) {
 	for {
-		e, ok := x.paused.Min()
-		if !ok || now.Before(e.state.pausedUntil()) {
+		e, ok := t.Min()
+		if !ok || now.UnixNano() < e.key {
 			return
 		}
 		b.place(now, e.state)
@@ -114,12 +123,16 @@
 	}
 	salt := b.random.Uint64()
 	s.insert(x.latencies, int64(s.latency), salt)
-	if s.open == 0 {
+	heldUntil := s.limiter.HeldUntil(now)
+	held := now.Before(heldUntil)
+	if s.open == 0 && !held {
 		s.insert(x.resting, s.probeDue(), salt)
 	}
 	s.position.full = s.isFull(b.turnaround)
 	switch {
 	case s.position.full:
+	case held:
+		s.insert(x.held, heldUntil.UnixNano(), salt)
 	case now.Before(s.pausedUntil()):
 		s.insert(x.paused, s.pausedUntil().UnixNano(), salt)
 	default:
--- a/internal/decide/hingebalance/limit.go
+++ b/internal/decide/hingebalance/limit.go
@@ -63,7 +63,11 @@
 		if s.replica.Slots > 0 {
 			concurrency = s.limit(b.turnaround)
 		}
-		rate += float64(concurrency) / s.expectedLatency(now).Seconds()
+		perSecond := float64(concurrency) / s.expectedLatency(now).Seconds()
+		if limit, limited := s.limiter.Rate(); limited {
+			perSecond = min(perSecond, limit)
+		}
+		rate += perSecond
 	}
 	return rate
 }
--- a/internal/decide/hingebalance/state.go
+++ b/internal/decide/hingebalance/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 type ejection struct {
@@ -63,6 +64,8 @@
 	zones          map[hingeids.Zone]*reachability
 	lastUsed       time.Time
 	replaced       bool
+	// limiter is nil if the replica has named no rate limit (rule 7).
+	limiter *hingenotice.Limiter
 }
 
 func (s *state) reachability(z hingeids.Zone) *reachability {
@@ -91,6 +94,7 @@
 	}
 	s.open++
 	s.lastUsed = now
+	s.limiter.RecordSend(now)
 }
 
 // expectedLatency returns the average latency, or the time since the last response if that is
@@ -157,6 +161,11 @@
 	return hingeclock.Later(s.ejected.until, s.refusedUntil)
 }
 
+// held reports whether the replica's rate limit allows no request now.
+func (s *state) held(now time.Time) bool {
+	return now.Before(s.limiter.HeldUntil(now))
+}
+
 func (s *state) recordResponse(now time.Time) {
 	s.waitingSince = time.Time{}
 	if s.open > 0 {
--- a/internal/decide/hingefleet/assign.go
+++ b/internal/decide/hingefleet/assign.go
@@ -82,14 +82,17 @@
 		expected:     req.ExpectedTokens,
 		generatedAt:  firstToken,
 		assignedAt:   now,
+		placedAt:     now,
 		prefillSince: prefillSinceOf(now, req, a),
 	})
 	decode.health.lastAssigned = now
+	decode.limiter.RecordSend(now)
 	if a.Prefill == "" && !req.Cached {
 		decode.lastPrefill = now
 	}
 	if p := f.engines[a.Prefill]; p != nil {
 		p.health.lastAssigned = now
+		p.limiter.RecordSend(now)
 		p.prefillQueue.add(now, req.ID, req.PromptTokens)
 		f.markChanged(p)
 	}
--- a/internal/decide/hingefleet/candidate.go
+++ b/internal/decide/hingefleet/candidate.go
@@ -59,7 +59,7 @@
 		evaluated := 0
 		zi.decoders.Scan(func(x indexEntry) bool {
 			e := x.engine
-			if !e.health.usable(now) {
+			if !e.usable(now) {
 				return true
 			}
 			// The engines are ordered by the share that a long stream would have, without its
--- a/internal/decide/hingefleet/health.go
+++ b/internal/decide/hingefleet/health.go
@@ -5,6 +5,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 const (
@@ -70,6 +71,9 @@
 	Stream  StreamID          `cbor:"3,keyasint,omitempty"`
 	// Generated is the number of tokens of a complete answer.
 	Generated hingeids.Tokens `cbor:"4,keyasint,omitempty"`
+	// Notice is what the engine stated in its answer. It is left out when a stream ends, long after its
+	// answer began.
+	Notice hingenotice.Notice `cbor:"5,keyasint,omitzero"`
 }
 
 // RecordOutcome records the outcome of a stream at an engine. It ignores unknown engines.
@@ -78,6 +82,7 @@
 	if e == nil {
 		return
 	}
+	f.recordOutcomeNotice(now, e, r)
 	if e.Role == Prefill {
 		e.prefillQueue.done(now, r.Stream, r.Outcome == Succeeded)
 	}
--- a/internal/decide/hingefleet/index.go
+++ b/internal/decide/hingefleet/index.go
@@ -15,7 +15,7 @@
 const maxEvaluated = 48
 
 // zoneIndex holds the engines of one zone in the order in which they are evaluated for a request.
-// Engines that are ejected are in none of the lists.
+// Engines that are ejected or held back by their rate limit are in none of the lists.
 type zoneIndex struct {
 	// decoders are ordered by their forecast.
 	decoders *engineTree
@@ -55,7 +55,8 @@
 	zoneNames []hingeids.Zone
 	// changed are the engines that have to be moved.
 	changed []*engine
-	// ejected holds the ejected engines by the end of their ejection.
+	// ejected holds the ejected engines, and those that are held back by their rate limit, by when they
+	// are usable again.
 	ejected *engineTree
 	// loaded holds the decode engines with streams, rates those with a measured decode rate, the
 	// slowest first, and memories counts the decode engines by their memory.
@@ -122,11 +123,11 @@
 	}
 }
 
-// updateIndex moves the engines that changed, and those whose ejection has ended.
+// updateIndex moves the engines that changed, and those that are usable again.
 func (f *Fleet) updateIndex(now time.Time) {
 	for {
 		first, found := f.index.ejected.Min()
-		if !found || now.Before(first.engine.health.unusableUntil) {
+		if !found || float64(now.UnixNano()) < first.key {
 			break
 		}
 		f.place(now, first.engine)
@@ -187,9 +188,10 @@
 
 func (f *Fleet) treeOf(now time.Time, e *engine) (*engineTree, float64) {
 	zi := f.index.zone(e.Zone)
+	unusableUntil := e.unusableUntil(now)
 	switch {
-	case now.Before(e.health.unusableUntil):
-		return f.index.ejected, float64(e.health.unusableUntil.UnixNano())
+	case now.Before(unusableUntil):
+		return f.index.ejected, float64(unusableUntil.UnixNano())
 	case e.Role == Decode:
 		fc := f.forecastOf(now, e)
 		return zi.decoders, share(fc.peak+fc.untilPeak, e)
@@ -267,6 +269,7 @@
 		k = &engine{
 			prefillQueue:  newPrefillQueue(&f.estimates),
 			engineStreams: f.engineStreams(e.Server),
+			limiter:       f.limiters.Get(e.Server),
 		}
 		f.engines[e.Server] = k
 	case k.Engine == e:
--- a/internal/decide/hingefleet/prefill.go
+++ b/internal/decide/hingefleet/prefill.go
@@ -38,7 +38,7 @@
 		scan := func(tree *engineTree, limit int) {
 			evaluated := 0
 			tree.Scan(func(x indexEntry) bool {
-				if x.engine.health.usable(now) && !slices.Contains(req.Avoid, x.engine.Server) {
+				if x.engine.usable(now) && !slices.Contains(req.Avoid, x.engine.Server) {
 					evaluate(x.engine)
 					evaluated++
 				}
@@ -70,7 +70,7 @@
 // backlog.
 func (f *Fleet) canPrefill(now time.Time, req *StreamRequest) bool {
 	for _, e := range f.prefillers {
-		if e.health.usable(now) && !slices.Contains(req.Avoid, e.Server) {
+		if e.usable(now) && !slices.Contains(req.Avoid, e.Server) {
 			return true
 		}
 	}
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -110,12 +110,18 @@
 // prompts. It replaces the wait for decode memory while prefill is the bottleneck.
 func (f *Fleet) prefillWait(now time.Time, prompts int) time.Duration {
 	rate := 0.0
+	promptTokens := f.estimates.promptTokens.valueOr(0)
 	for _, e := range f.prefillers {
-		if e.health.usable(now) {
-			rate += e.prefillQueue.rateAt(now)
+		if !e.health.usable(now) {
+			continue
+		}
+		tokens := e.prefillQueue.rateAt(now)
+		if limit, limited := e.limiter.Rate(); limited {
+			tokens = min(tokens, limit*promptTokens)
 		}
+		rate += tokens
 	}
-	return waitFor(float64(prompts)*f.estimates.promptTokens.valueOr(0), rate)
+	return waitFor(float64(prompts)*promptTokens, rate)
 }
 
 // decide assigns or refuses a request, or returns false to keep it queued behind the given number of
@@ -176,7 +182,7 @@
 // shortage returns the resource that an unassigned request lacked in this step.
 func (f *Fleet) shortage(now time.Time) Shortage {
 	usable := slices.ContainsFunc(f.decoders, func(e *engine) bool {
-		return e.health.usable(now)
+		return e.usable(now)
 	})
 	switch {
 	case !usable:
--- a/internal/decide/hingefleet/rates.go
+++ b/internal/decide/hingefleet/rates.go
@@ -1,6 +1,7 @@
 package hingefleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -26,7 +27,7 @@
 	f.updateIndex(now)
 	var r rates
 	f.index.loaded.Scan(func(_ hingeids.ServerID, e *engine) bool {
-		if now.Before(e.health.unusableUntil) {
+		if now.Before(e.unusableUntil(now)) {
 			return true
 		}
 		rate := f.decodeRateOf(e)
@@ -35,12 +36,29 @@
 		}
 		return true
 	})
+	r.drain = min(r.drain, f.limitedRate())
 	r.arrival = float64(len(f.arrivals)) / arrivalWindow.Seconds()
 	f.cachedRates = r
 	f.cachedRatesAt = now
 	return r
 }
 
+// limitedRate returns the rate at which the rate limits of the decode engines allow streams, which is unlimited while an
+// engine has named none.
+func (f *Fleet) limitedRate() float64 {
+	limited, sum := 0, 0.0
+	f.limiters.Scan(func(id hingeids.ServerID, perSecond float64) {
+		if e := f.engines[id]; e != nil && e.Role == Decode {
+			limited++
+			sum += perSecond
+		}
+	})
+	if limited < len(f.decoders) {
+		return math.Inf(1)
+	}
+	return sum
+}
+
 func (f *Fleet) dropOldArrivals(now time.Time) {
 	from := 0
 	for from < len(f.arrivals) && now.Sub(f.arrivals[from]) > arrivalWindow {
--- a/internal/decide/hingefleet/streams.go
+++ b/internal/decide/hingefleet/streams.go
@@ -19,6 +19,8 @@
 	generatedAt time.Time
 	// assignedAt is the time of the assignment; zero once the owner has reported the stream.
 	assignedAt time.Time
+	// placedAt is the time of the assignment by this fleet, zero if another placer made it.
+	placedAt time.Time
 	// prefillSince is the time of an assignment with a prefill engine; zero otherwise, and after
 	// the first token.
 	prefillSince time.Time
--- a/internal/decide/hingenotice/known.go
+++ b/internal/decide/hingenotice/known.go
@@ -6,11 +6,18 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
-// Statement is what a host knows of the statements of one server.
-type Statement struct {
+// Subject is a server that states something about itself.
+type Subject struct {
 	Service hingeids.Service  `cbor:"1,keyasint"`
 	Server  hingeids.ServerID `cbor:"2,keyasint"`
-	Notice  Notice            `cbor:"3,keyasint"`
+	// Engine is set for an engine, which serves streams, and not for a replica of a plain service.
+	Engine bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Statement is what a host knows of the statements of one server.
+type Statement struct {
+	Subject
+	Notice Notice `cbor:"4,keyasint"`
 }
 
 // keepTime is how long a statement is kept that no answer repeats. A server that gets no requests for
@@ -26,22 +33,22 @@
 }
 
 type known struct {
-	service hingeids.Service
+	subject Subject
 	limiter Limiter
 	// change is the number of the last change.
 	change    uint64
 	updatedAt time.Time
 }
 
-// Len returns the number of servers with a statement.
-func (k *Known) Len() int {
-	return len(k.servers)
+// Changes returns the number of changes so far.
+func (k *Known) Changes() uint64 {
+	return k.changes
 }
 
 // Update records the notice of an answer to a request sent at sentAt, and reports whether it changes
 // what is known.
-func (k *Known) Update(now, sentAt time.Time, service hingeids.Service, id hingeids.ServerID, n Notice) bool {
-	entry := k.servers[id]
+func (k *Known) Update(now, sentAt time.Time, subject Subject, n Notice) bool {
+	entry := k.servers[subject.Server]
 	if entry == nil {
 		if n == (Notice{}) {
 			return false
@@ -50,9 +57,9 @@
 			k.servers = make(map[hingeids.ServerID]*known)
 		}
 		entry = &known{
-			service: service,
+			subject: subject,
 		}
-		k.servers[id] = entry
+		k.servers[subject.Server] = entry
 	}
 	entry.updatedAt = now
 	if !entry.limiter.Update(now, sentAt, n.RateLimit) {
@@ -61,7 +68,7 @@
 	k.changes++
 	entry.change = k.changes
 	if !entry.limiter.Limited() {
-		delete(k.servers, id)
+		delete(k.servers, subject.Server)
 	}
 	return true
 }
@@ -73,11 +80,10 @@
 		return nil, change
 	}
 	var out []Statement
-	for id, entry := range k.servers {
+	for _, entry := range k.servers {
 		if entry.change > change {
 			out = append(out, Statement{
-				Service: entry.service,
-				Server:  id,
+				Subject: entry.subject,
 				Notice: Notice{
 					RateLimit: entry.limiter.rate,
 				},
--- a/internal/decide/hingenotice/limiter.go
+++ b/internal/decide/hingenotice/limiter.go
@@ -36,8 +36,8 @@
 	Host hingeids.HostID
 }
 
-// Limiter spaces the requests to one server by the rate limit that it has named. The zero value has no
-// limit.
+// Limiter spaces the requests to one server by the rate limit that it has named. The zero value and nil
+// have no limit.
 type Limiter struct {
 	rate hingeids.RequestsPerSecond
 	// statedAt is when rate was last stated.
@@ -58,7 +58,7 @@
 // Rate returns the rate at which this placer may send requests, and false if there is no limit.
 func (l *Limiter) Rate() (perSecond float64, limited bool) {
 	switch {
-	case l.rate == 0:
+	case l == nil || l.rate == 0:
 		return 0, false
 	case l.part.Hosts > 0:
 		return localShare * float64(l.rate) / float64(l.part.Hosts), true
@@ -121,8 +121,8 @@
 
 // RecordSend records a request to the server.
 func (l *Limiter) RecordSend(now time.Time) {
-	l.lastSent = now
 	if rate, limited := l.Rate(); limited {
+		l.lastSent = now
 		l.next = hingeclock.Later(l.next, now.Add(-burstTime)).Add(durationOf(1 / rate))
 	}
 }
--- a/internal/decide/hingequeue/queue.go
+++ b/internal/decide/hingequeue/queue.go
@@ -29,6 +29,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingebalance"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 // CallID identifies one attempt of a request at a replica.
@@ -66,6 +67,8 @@
 	Outcome hingebalance.Outcome `cbor:"3,keyasint"`
 	Elapsed time.Duration        `cbor:"4,keyasint"`
 	Zone    hingeids.Zone        `cbor:"5,keyasint,omitempty"`
+	// Notice is what the replica stated in its answer.
+	Notice hingenotice.Notice `cbor:"6,keyasint,omitzero"`
 }
 
 const (
@@ -195,11 +198,25 @@
 			q.balancer.SetTurnaround(q.turnaround)
 		}
 	}
+	if n := completion.Notice; n != (hingenotice.Notice{}) || completion.Outcome == hingebalance.Answered || completion.Outcome == hingebalance.Full {
+		// Of other outcomes it isn't known whether there was an answer.
+		q.balancer.RecordNotice(now, now.Add(-completion.Elapsed), completion.Server, n)
+	}
 	if completion.Outcome != hingebalance.Unknown {
 		q.balancer.RecordOutcome(now, completion.Server, completion.Zone, completion.Outcome, completion.Elapsed)
 	}
 }
 
+// RecordNotice records what a replica stated in an answer, as another host reports it.
+func (q *Queue) RecordNotice(now time.Time, id hingeids.ServerID, n hingenotice.Notice) {
+	q.balancer.RecordNotice(now, time.Time{}, id, n)
+}
+
+// SetPart sets the part of the replicas' rate limits that may be used.
+func (q *Queue) SetPart(p hingenotice.Part) {
+	q.balancer.SetPart(p)
+}
+
 // Step assigns replicas to waiting requests, and refuses those that would wait too long.
 func (q *Queue) Step(now time.Time) []Decision {
 	q.sweep(now)
@@ -297,13 +314,15 @@
 	return out
 }
 
-// drainTime returns how long it takes to answer n requests at a rate per second, at most
-// maxRetryAfter.
+// drainTime returns how long it takes to answer n requests at a rate per second, at most maxRetryAfter
+// or the time for one.
 func drainTime(n int, rate float64) time.Duration {
 	if rate <= 0 {
 		return maxRetryAfter
 	}
-	return min(time.Duration(float64(n)/rate*float64(time.Second)), maxRetryAfter)
+	// The next request of replicas with low rate limits may be due only after maxRetryAfter.
+	most := max(maxRetryAfter.Seconds(), 1/rate)
+	return time.Duration(min(float64(n)/rate, most) * float64(time.Second))
 }
 
 func refusal(r CallRequest, wait time.Duration) Decision {
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -73,7 +73,7 @@
 		return p.decodeFailed(ctx, r, verdictOf(err))
 	}
 	reply := p.dialect.Reply(dial.exchange.Response)
-	p.recordNotice(r.job, placed.Decode, reply, r.sentAt)
+	p.recordNotice(r.job, placed.Decode, true, reply, r.sentAt)
 	if err := p.checkReply(r.job, dial.exchange.Response, reply); err != nil {
 		return p.decodeFailed(ctx, r, verdictOf(err))
 	}
@@ -88,7 +88,7 @@
 		r.relay.recordEvent(now)
 		if r.streamingServer != placed.Decode {
 			r.streamingServer = placed.Decode
-			placed.stream.RecordOutcome(placed.Decode, hingefleet.Started)
+			placed.stream.RecordOutcome(placed.Decode, hingefleet.Started, r.takeNotice())
 		}
 		if events == 1 {
 			p.settings.Recorder.Record(now, hingeevents.RequestFirstToken, hingeevents.Fields{
--- a/internal/path/hingeproxy/notice.go
+++ b/internal/path/hingeproxy/notice.go
@@ -10,11 +10,12 @@
 )
 
 // recordNotice records what a server states about itself in its answer to a request that was sent at sentAt.
-func (p *Proxy) recordNotice(j *job, id hingeids.ServerID, reply Reply, sentAt time.Time) {
+func (p *Proxy) recordNotice(j *job, id hingeids.ServerID, engine bool, reply Reply, sentAt time.Time) {
 	if reply.ServerReplaced || reply.ID != "" && reply.ID != j.info.ID {
 		// The answer is another server's, or belongs to another request.
 		return
 	}
+	j.notice = reply.Notice
 	now := p.settings.Clock()
 	if reply.NoticeError != nil {
 		p.meter.unreadNotices.Inc()
@@ -27,7 +28,11 @@
 			})
 		}
 	}
-	if !p.owner.RecordNotice(j.service, id, reply.Notice, sentAt) {
+	if !p.owner.RecordNotice(hingenotice.Subject{
+		Service: j.service,
+		Server:  id,
+		Engine:  engine,
+	}, reply.Notice, sentAt) {
 		return
 	}
 	p.meter.noticeChanges.Inc()
@@ -48,3 +53,11 @@
 	}
 	return fmt.Sprintf("rate limit %.4g/s", float64(n.RateLimit))
 }
+
+// takeNotice returns the notice of the last answer for the report of its outcome. It is reported once: when a stream
+// ends, its answer began long ago.
+func (j *job) takeNotice() hingenotice.Notice {
+	n := j.notice
+	j.notice = hingenotice.Notice{}
+	return n
+}
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -150,6 +150,7 @@
 		Outcome: outcome,
 		Elapsed: elapsed,
 		Zone:    p.settings.Zone,
+		Notice:  j.takeNotice(),
 	})
 	if outcome != hingebalance.ConnectFailed {
 		j.attempts++
@@ -197,7 +198,7 @@
 	}
 	defer x.Close()
 	reply := p.dialect.Reply(x.Response)
-	p.recordNotice(j, c.Server, reply, sentAt)
+	p.recordNotice(j, c.Server, false, reply, sentAt)
 	if err := p.checkReply(j, x.Response, reply); err != nil {
 		return nil, err
 	}
--- a/internal/path/hingeproxy/prefill.go
+++ b/internal/path/hingeproxy/prefill.go
@@ -33,7 +33,7 @@
 	}
 	defer x.Close()
 	reply := p.dialect.Reply(x.Response)
-	p.recordNotice(r.job, id, reply, r.sentAt)
+	p.recordNotice(r.job, id, true, reply, r.sentAt)
 	if reply.ServerReplaced {
 		return Cache{}, notRun(hingeverdict.CodeServerGone, eris.New("address belongs to another server"))
 	}
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -211,6 +211,8 @@
 	paidMessages int
 	// freeRetries counts the retries that cost no budget.
 	freeRetries int
+	// notice is what a server has stated in the last answer, until it is reported to the placer.
+	notice hingenotice.Notice
 	// reserved is set if the next retry was already charged to the budget.
 	reserved bool
 }
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -13,6 +13,7 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 	"github.com/swifthinge/swifthinge/internal/path/hingewire"
 )
@@ -198,7 +199,7 @@
 		return err
 	}
 	if placed.Prefill != "" {
-		placed.stream.RecordOutcome(placed.Prefill, hingefleet.Succeeded)
+		placed.stream.RecordOutcome(placed.Prefill, hingefleet.Succeeded, r.takeNotice())
 	}
 	generated := r.generated()
 	prefillDone := p.settings.Clock()
@@ -206,7 +207,7 @@
 	for {
 		err = p.decode(ctx, r, placed, dial, cache)
 		if err == nil {
-			placed.stream.RecordOutcome(placed.Decode, hingefleet.Succeeded)
+			placed.stream.RecordOutcome(placed.Decode, hingefleet.Succeeded, hingenotice.Notice{})
 			return nil
 		}
 		if context.Cause(ctx) == nil {
@@ -305,10 +306,11 @@
 		Elapsed:         now.Sub(r.Arrived),
 		Detail:          err.Error(),
 	})
+	notice := r.takeNotice()
 	if err.Code == hingeverdict.CodeDeadline {
 		return
 	}
-	placed.stream.RecordOutcome(id, engineOutcome(err))
+	placed.stream.RecordOutcome(id, engineOutcome(err), notice)
 }
 
 func engineOutcome(err *hingeverdict.Error) hingefleet.Outcome {
