Soak: servers name rate limits

Checked at the servers: in 4 s no more than one and a half times the limit and five requests, from hosts that have received such an answer since their last restart or freeze.

--- a/cmd/swifthinge-soak/main.go
+++ b/cmd/swifthinge-soak/main.go
@@ -56,6 +56,10 @@
 				Name:  "poison",
 				Usage: "number of poison requests, which crash every server that runs them and are resent repeatedly",
 			},
+			&cli.BoolFlag{
+				Name:  "needs",
+				Usage: "servers state in their answers that they are in need",
+			},
 			&cli.DurationFlag{
 				Name:  "lasts",
 				Usage: "duration of fault injection per seed",
@@ -82,6 +86,7 @@
 			Entries:        c.Int("entries"),
 			Duration:       c.Duration("lasts"),
 			PoisonRequests: c.Int("poison"),
+			Needs:          c.Bool("needs"),
 			Out:            os.Stdout,
 		})
 		if err != nil {
--- a/internal/soak/hingesoak/checker.go
+++ b/internal/soak/hingesoak/checker.go
@@ -25,7 +25,9 @@
 
 type requestRecord struct {
 	atMostOnce bool
-	runs       int
+	// entry is the index of the entry host that it was sent to.
+	entry int
+	runs  int
 	// refused is set once the caller has received a refusal that says that the request
 	// wasn't run; the request must not run afterwards.
 	refused bool
@@ -39,6 +41,8 @@
 	mu       sync.Mutex
 	requests map[string]*requestRecord
 	poisons  map[string]*poisonRecord
+	// needs has the servers in need by name.
+	needs    map[string]*needRecord
 	accepted uint64
 	result   Report
 }
@@ -48,6 +52,7 @@
 		startedAt: startedAt,
 		requests:  make(map[string]*requestRecord),
 		poisons:   make(map[string]*poisonRecord),
+		needs:     make(map[string]*needRecord),
 	}
 }
 
@@ -95,12 +100,13 @@
 }
 
 // recordRequest registers a request. It is called before the request is sent.
-func (c *checker) recordRequest(id string, atMostOnce bool) {
+func (c *checker) recordRequest(id string, entry int, atMostOnce bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.result.Sent++
 	c.requests[id] = &requestRecord{
 		atMostOnce: atMostOnce,
+		entry:      entry,
 	}
 }
 
--- a/internal/soak/hingesoak/load.go
+++ b/internal/soak/hingesoak/load.go
@@ -54,7 +54,8 @@
 	c.sent++
 	id := fmt.Sprintf("%s-%d", c.name, c.sent)
 	path := []string{"/once/x", "/safe/x", "/safe/y", "/stream/x"}[c.random.IntN(4)]
-	address := c.fleet.entries[c.random.IntN(len(c.fleet.entries))].settings.CallerAddress
+	entry := c.random.IntN(len(c.fleet.entries))
+	address := c.fleet.entries[entry].settings.CallerAddress
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("body of "+id))
 	if err != nil {
 		return false
@@ -68,7 +69,7 @@
 		prompt = 500
 	}
 	wire.SetCallerHeaders(q.Header, id, int(maxWait.Milliseconds()), prompt)
-	c.checker.recordRequest(id, strings.HasPrefix(path, "/once/"))
+	c.checker.recordRequest(id, entry, strings.HasPrefix(path, "/once/"))
 	a, err := c.client.Do(q)
 	if err != nil {
 		return false
--- a/internal/soak/hingesoak/plan.go
+++ b/internal/soak/hingesoak/plan.go
@@ -7,6 +7,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
 type kind string
@@ -32,6 +34,8 @@
 	index    int
 	duration time.Duration
 	mode     mode
+	// limit is the rate limit that a server names.
+	limit hingeids.RequestsPerSecond
 }
 
 func (f fault) String() string {
@@ -39,7 +43,10 @@
 	if f.control {
 		host = "control"
 	}
-	if f.kind == link {
+	switch f.kind {
+	case limit:
+		return fmt.Sprintf("server %d names a limit of %v/s for %v", f.index, f.limit, f.duration)
+	case link:
 		return fmt.Sprintf("link of server %d: %s for %v", f.index, f.mode, f.duration)
 	}
 	return fmt.Sprintf("%s %s %d for %v", f.kind, host, f.index, f.duration)
@@ -77,6 +84,8 @@
 // inject starts a fault and returns; the fault ends after its duration.
 func (s *soak) inject(ctx context.Context, f fault) {
 	switch {
+	case f.kind == limit:
+		s.servers[f.index].setNeed(f)
 	case f.kind == link:
 		s.servers[f.index].proxy.setMode(f.mode)
 		time.AfterFunc(f.duration, func() {
@@ -87,6 +96,7 @@
 	case f.control:
 		s.fleet.injectControl(ctx, f)
 	default:
+		s.checker.recordHostFault(f.index)
 		s.fleet.injectProcess(s.fleet.entries[f.index], f)
 	}
 }
@@ -123,6 +133,9 @@
 	x.faults.Go(func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		if !f.control {
+			defer x.checker.recordHostFault(f.index)
+		}
 		switch f.kind {
 		case hup:
 			time.Sleep(time.Until(p.started.Add(signalDelay)))
--- a/internal/soak/hingesoak/poison.go
+++ b/internal/soak/hingesoak/poison.go
@@ -54,7 +54,8 @@
 // sendOne sends the request, and reports whether it was refused as a poison request.
 func (p *poisoner) sendOne(ctx context.Context) bool {
 	p.sent++
-	address := p.fleet.entries[p.random.IntN(len(p.fleet.entries))].settings.CallerAddress
+	entry := p.random.IntN(len(p.fleet.entries))
+	address := p.fleet.entries[entry].settings.CallerAddress
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+p.path, strings.NewReader("body of "+p.path))
 	if err != nil {
 		return false
@@ -67,7 +68,7 @@
 	}
 	id := fmt.Sprintf("%s-%d", p.path, p.sent)
 	wire.SetCallerHeaders(q.Header, id, int(maxWait.Milliseconds()), prompt)
-	p.checker.recordRequest(id, false)
+	p.checker.recordRequest(id, entry, false)
 	a, err := p.client.Do(q)
 	if err != nil {
 		return false
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 // serverKinds lists the stages of a run's stand-ins; an empty stage is a replica of the plain service.
@@ -37,6 +39,8 @@
 	// restarts is part of the server's name. While down is set, no heartbeats are sent.
 	restarts atomic.Uint64
 	down     atomic.Bool
+	// notice is what the server states in its answers.
+	notice atomic.Pointer[hingenotice.Notice]
 }
 
 // name returns the server's name, which changes with each restart.
@@ -67,6 +71,7 @@
 			stage:   stage,
 			checker: s.checker,
 		}
+		x.notice.Store(&hingenotice.Notice{})
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return eris.Wrap(err, "open stand-in listener")
@@ -126,6 +131,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if info.ID != "" {
+		x.checker.recordArrival(x.name(), info.ID)
+	}
 	switch {
 	case info.ID == "":
 		// Load queries and calls that free KV cache run no request.
@@ -135,6 +143,7 @@
 	case info.Prefill:
 		time.Sleep(20 * time.Millisecond)
 		wire.SetResponseHeaders(w.Header(), info.ID)
+		x.state(w.Header(), info.ID)
 		_, _ = w.Write(wire.PrefillResponse(fmt.Sprint("cache-", x.cache.Add(1))))
 	case x.stage == "decode":
 		x.stream(w, q, info.ID, info.LastEventID)
@@ -142,6 +151,7 @@
 		x.checker.recordRun(info.ID, x.id)
 		time.Sleep(10 * time.Millisecond)
 		wire.SetResponseHeaders(w.Header(), info.ID)
+		x.state(w.Header(), info.ID)
 		_, _ = io.WriteString(w, answerTo(info.ID))
 	}
 }
@@ -149,6 +159,7 @@
 func (x *server) stream(w http.ResponseWriter, q *http.Request, id, after string) {
 	x.checker.recordRun(id, x.id)
 	wire.SetResponseHeaders(w.Header(), id)
+	x.state(w.Header(), id)
 	first, _ := strconv.Atoi(after)
 	for i := first + 1; i <= streamEvents; i++ {
 		if q.Context().Err() != nil {
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -14,6 +14,8 @@
 //     signals to the processes.
 //  7. A poison request crashes each server that runs it. The server restarts after a
 //     delay under another name. The request is resent to any entry host under a new id.
+//  8. Servers in need state it in their answers for a while. An entry host that has received such an answer obeys it,
+//     whatever happens to other processes, until it is restarted or suspended itself.
 package hingesoak
 
 import (
@@ -23,6 +25,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,7 +46,9 @@
 	Duration time.Duration
 	// PoisonRequests is the number of different poison requests, each sent repeatedly.
 	PoisonRequests int
-	Out            io.Writer
+	// Needs makes servers state that they are in need.
+	Needs bool
+	Out   io.Writer
 }
 
 // Violation is a violated guarantee. At is the time since the start of the run,
@@ -155,7 +160,14 @@
 	s.load.Go(func() {
 		operator.read(loadCtx)
 	})
-	for _, f := range plan(s.random, s.options) {
+	faults := plan(s.random, s.options)
+	if s.options.Needs {
+		faults = append(faults, planNeeds(rand.New(rand.NewPCG(s.options.Seed, 8)), s.options)...)
+		slices.SortStableFunc(faults, func(a, b fault) int {
+			return cmp.Compare(a.at, b.at)
+		})
+	}
+	for _, f := range faults {
 		at := s.startedAt.Add(f.at)
 		_, _ = fmt.Fprintf(s.options.Out, "%8.3f s %s\n", f.at.Seconds(), f)
 		if !sleepUntil(ctx, at) {
@@ -173,6 +185,7 @@
 func (s *soak) checkRecovery(ctx context.Context, operator *operator) {
 	for _, x := range s.servers {
 		x.proxy.setMode(passThrough)
+		x.endNeed()
 	}
 	if !waitFor(ctx, recoveryTimeout, func() bool {
 		return s.fleet.ready() && operator.sendNext(ctx, 1)
--- a/internal/soak/hingesoak/soak_test.go
+++ b/internal/soak/hingesoak/soak_test.go
@@ -26,6 +26,12 @@
 	runSeeds(t, "testdata/poison.txt")
 }
 
+// What a server in need states in its answers is obeyed by every entry host that has received it, despite the same
+// faults. Otherwise the server gets the load that it can't take.
+func TestSeedsObeyServersInNeed(t *testing.T) {
+	runSeeds(t, "testdata/needs.txt")
+}
+
 func runSeeds(t *testing.T, file string) {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "swifthinge-fleet")
@@ -83,6 +89,8 @@
 			o.Entries = n
 		case "poison":
 			o.PoisonRequests = n
+		case "needs":
+			o.Needs = true
 		case "lasts":
 			o.Duration, _ = time.ParseDuration(value)
 		}
