--- a/internal/decide/hingenotice/known.go
+++ b/internal/decide/hingenotice/known.go
@@ -35,6 +35,8 @@
 type known struct {
 	subject Subject
 	limiter Limiter
+	// leavingAt is when the server last stated that it leaves, zero if it doesn't.
+	leavingAt time.Time
 	// change is the number of the last change.
 	change    uint64
 	updatedAt time.Time
@@ -62,17 +64,34 @@
 		k.servers[subject.Server] = entry
 	}
 	entry.updatedAt = now
-	if !entry.limiter.Update(now, sentAt, n.RateLimit) {
+	limitChanged := entry.limiter.Update(now, sentAt, n.RateLimit)
+	leavingChanged := updateLeaving(&entry.leavingAt, now, sentAt, n.Leaving)
+	if !limitChanged && !leavingChanged {
 		return false
 	}
 	k.changes++
 	entry.change = k.changes
-	if !entry.limiter.Limited() {
+	if !entry.limiter.Limited() && entry.leavingAt.IsZero() {
 		delete(k.servers, subject.Server)
 	}
 	return true
 }
 
+// updateLeaving records in leavingAt whether an answer states that its server leaves, and reports whether this has
+// changed. sentAt is as for Limiter.Update.
+func updateLeaving(leavingAt *time.Time, now, sentAt time.Time, leaving bool) bool {
+	left := !leavingAt.IsZero()
+	switch {
+	case leaving:
+		*leavingAt = now
+	case left && sentAt.Before(leavingAt.Add(transitTime)):
+		return false
+	default:
+		*leavingAt = time.Time{}
+	}
+	return left != leaving
+}
+
 // Since returns the statements that changed after the given number of changes, and the present number.
 // The placer learns of a removed limit by the answer itself.
 func (k *Known) Since(change uint64) ([]Statement, uint64) {
@@ -86,6 +105,7 @@
 				Subject: entry.subject,
 				Notice: Notice{
 					RateLimit: entry.limiter.rate,
+					Leaving:   !entry.leavingAt.IsZero(),
 				},
 			})
 		}
--- a/internal/decide/hingenotice/notice.go
+++ b/internal/decide/hingenotice/notice.go
@@ -24,4 +24,6 @@
 	// RateLimit is the rate of requests that the server accepts from all hosts together, zero if the
 	// answer names none.
 	RateLimit hingeids.RequestsPerSecond `cbor:"1,keyasint,omitempty"`
+	// Leaving means that the server is about to shut down and accepts no new requests.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
 }
--- a/internal/decide/hingenotice/parse.go
+++ b/internal/decide/hingenotice/parse.go
@@ -36,6 +36,21 @@
 	return min(max(hingeids.RequestsPerSecond(limit), minRateLimit), maxRateLimit), nil
 }
 
+// ParseLeaving parses the values of a header that states that a server leaves. The only value that states it is 1.
+func ParseLeaving(values []string) (bool, error) {
+	if len(values) == 0 {
+		return false, nil
+	}
+	text, err := single(values)
+	if err != nil {
+		return false, err
+	}
+	if text != "1" {
+		return false, eris.Errorf("statement that the server leaves is %q, not 1", truncated(text))
+	}
+	return true, nil
+}
+
 // single returns the value of a header that may occur several times with the same value.
 func single(values []string) (string, error) {
 	text := strings.TrimSpace(values[0])
--- a/internal/path/hingeproxy/notice.go
+++ b/internal/path/hingeproxy/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -48,10 +49,17 @@
 
 // describe returns a notice as a log line contains it.
 func describe(n hingenotice.Notice) string {
-	if n.RateLimit == 0 {
-		return "no rate limit"
+	var out []string
+	if n.RateLimit > 0 {
+		out = append(out, fmt.Sprintf("rate limit %.4g/s", float64(n.RateLimit)))
 	}
-	return fmt.Sprintf("rate limit %.4g/s", float64(n.RateLimit))
+	if n.Leaving {
+		out = append(out, "leaving")
+	}
+	if len(out) == 0 {
+		return "nothing any more"
+	}
+	return strings.Join(out, ", ")
 }
 
 // takeNotice returns the notice of the last answer for the report of its outcome. It is reported once: when a stream
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -73,6 +74,7 @@
 
 func (testDialect) Reply(r *http.Response) Reply {
 	rateLimit, err := hingenotice.ParseRateLimit(r.Header.Values("Rate-Limit"))
+	leaving, leavingErr := hingenotice.ParseLeaving(r.Header.Values("Leaving"))
 	return Reply{
 		ID:             RequestID(r.Header.Get("Id")),
 		NotRun:         r.Header.Get("Not-Run") != "",
@@ -80,8 +82,9 @@
 		Sealed:         r.Header.Get("Vouched") != "",
 		Notice: hingenotice.Notice{
 			RateLimit: rateLimit,
+			Leaving:   leaving,
 		},
-		NoticeError: err,
+		NoticeError: errors.Join(err, leavingErr),
 	}
 }
 
