--- a/internal/path/hingeproxy/notice_test.go
+++ b/internal/path/hingeproxy/notice_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,6 +83,36 @@
 	}
 }
 
+// Guards against requests to a replica that has told this host in an answer that it leaves, whatever the directory
+// says: it would cut them off.
+func TestReplicaThatLeavesGetsNoMoreRequests(t *testing.T) {
+	var leaving atomic.Bool
+	leaves := newStandin(t, "leaves", 0, func(_ int, q *http.Request, c net.Conn) bool {
+		if !leaving.Load() {
+			return false
+		}
+		replyWith(c, q, "Leaving: 1")
+		return true
+	})
+	stays := newStandin(t, "stays", 0, nil)
+	hosts := newTestProxies(t, 3, leaves, stays)
+	sendFor(hosts, "/lookup/7", 10*time.Millisecond, 300*time.Millisecond)
+	if leaves.ran() == 0 {
+		t.Fatal("the replica got no request before it left")
+	}
+	leaving.Store(true)
+	sendFor(hosts, "/lookup/7", 10*time.Millisecond, 300*time.Millisecond)
+	before := leaves.ran()
+	for _, a := range sendFor(hosts, "/lookup/7", 10*time.Millisecond, time.Second) {
+		if a.Status != http.StatusOK {
+			t.Fatalf("status %d beside a replica that stays", a.Status)
+		}
+	}
+	if n := leaves.ran() - before; n != 0 {
+		t.Errorf("%d requests after it has stated that it leaves", n)
+	}
+}
+
 // Guards against an answer that is lost because a header of it that names a limit can't be read.
 func TestUnreadableNoticeIsForwarded(t *testing.T) {
 	replica := newStandin(t, "replica", 0, func(_ int, q *http.Request, c net.Conn) bool {
