Servers that state that they leave get no new requests

Cause: the directory was the only source. Ruled out: a record that came late (no such line before 14 s at the others), and hosts that know and send all the same (they gave up with 3001).

Change: a statement that the server leaves excludes it at the placer, for all hosts, as soon as one host reports it, and at each host that has received it, whatever placer chose it: the last gate before a request is sent (addressOf). A request that is withheld there is placed again without cost, and its outcome tells the placer what it didn't know; it isn't counted as an unreachable server, which would make its zone suspect. Statements of limits and leaving are one restriction (hingenotice) with the same rules: at once, eased by a later request only, of one incarnation. A server that stays for ten minutes after its last statement gets a request again.

--- a/internal/capacity/hingeplacer/notices.go
+++ b/internal/capacity/hingeplacer/notices.go
@@ -34,6 +34,20 @@
 	return changed
 }
 
+// Notice returns what this host knows of a server's statements.
+func (o *Owner) Notice(id hingeids.ServerID) hingenotice.Notice {
+	o.notices.mu.Lock()
+	defer o.notices.mu.Unlock()
+	return o.notices.known.Notice(id)
+}
+
+// Leaving reports whether a server has stated to this host that it leaves.
+func (o *Owner) Leaving(id hingeids.ServerID) bool {
+	o.notices.mu.Lock()
+	defer o.notices.mu.Unlock()
+	return o.notices.known.Leaving(o.clock(), id)
+}
+
 func (s *noticeState) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/capacity/hingeplacer/notices_test.go
+++ b/internal/capacity/hingeplacer/notices_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
+	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 )
 
 // limitedTo is the notice of a replica that accepts two requests a second.
@@ -29,8 +30,8 @@
 	t.Helper()
 	sent := 0
 	for i := range n {
-		c := callRequest(1000*owner + i)
-		c.ID += "/" + "call"
+		c := callRequest(0)
+		c.ID = hingequeue.CallID(fmt.Sprint(owner, "/", i, "/", time.Now().UnixNano()))
 		a := cl.owners[owner].PlaceCall(context.Background(), c)
 		if a.Server == "" {
 			t.Fatalf("request %d: %+v", i, a)
@@ -84,6 +85,31 @@
 	})
 }
 
+// Guards against a host that sends to a server which has told it that it leaves, since a placer that doesn't know it, or
+// the host itself without a placer, chooses it.
+func TestLeavingServerIsNotChosen(t *testing.T) {
+	withCluster(t, func(t *testing.T, cl *cluster) {
+		cl.stateTo(0, hingenotice.Notice{
+			Leaving: true,
+		})
+		if !cl.owners[0].Leaving("app-1") {
+			t.Error("the host doesn't know it")
+		}
+		time.Sleep(100 * time.Millisecond)
+		if n := cl.callsTo(t, 1, 50); n != 0 {
+			t.Errorf("%d requests placed there for another host", n)
+		}
+		cl.nextLeader()
+		if n := cl.callsTo(t, 1, 50); n != 0 {
+			t.Errorf("%d requests placed there by the next leader", n)
+		}
+		cl.network.Remove("control-2")
+		if n := cl.callsTo(t, 0, 50); n != 0 {
+			t.Errorf("%d requests placed there without a placer", n)
+		}
+	})
+}
+
 // Guards against limits that are reported again and again: a report carries what has changed since the last one that
 // the placer has received, and everything to a new placer.
 func TestStatementsAreReportedOnce(t *testing.T) {
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -21,9 +21,10 @@
 //     keeps the crashes that it observed and also reports them to a new placer.
 //  8. Hosts have retry budgets of their own (hingeretry). Where there are so many hosts that the part of each would be
 //     smaller than one retry, the elected leader has the budget, and hosts request each retry from it.
-//  9. The placer keeps the rate limits that servers name in their answers (hingenotice). It learns of
-//     them with the outcome of each request. Each owner keeps what it was told itself and reports it to
-//     a placer that doesn't know it.
+//  9. The placer obeys what servers state in their answers (hingenotice). It learns of it with the
+//     outcome of each request. Each owner keeps what it was told itself, reports it to a placer that
+//     doesn't know it, and sends nothing to a server that has told it that it leaves, whatever placer
+//     chose it.
 package hingeplacer
 
 import (
--- a/internal/decide/hingebalance/balance.go
+++ b/internal/decide/hingebalance/balance.go
@@ -25,9 +25,10 @@
 //  6. A replica gets no more requests in flight than it has slots, plus as many as keep the slots
 //     busy while the next requests are in transit (limit.go). More would wait in the replica's own
 //     queue, where they are indistinguishable from lost requests.
-//  7. A replica that names a rate limit in its answers gets no request before the limit allows it
-//     (hingenotice). That is no failure: it is neither ejected nor probed, and rule 4 doesn't apply to
-//     it. Requests wait for it as for a replica at its limit of requests in flight.
+//  7. A replica that names a rate limit in its answers gets no request before the limit allows it, and
+//     one that states that it leaves gets none (hingenotice). That is no failure: neither is ejected
+//     nor probed, and rule 4 doesn't apply to them. Requests wait for a limited replica as for one at
+//     its limit of requests in flight.
 //  8. A decision evaluates the cheapest replicas only, in the order of an index (index.go), so that
 //     its cost doesn't grow with the replicas.
 package hingebalance
@@ -147,8 +148,8 @@
 	listedStates []*state
 	index        index
 	// zones are those from which requests have been sent.
-	zones    map[hingeids.Zone]bool
-	limiters hingenotice.Limiters
+	zones        map[hingeids.Zone]bool
+	restrictions hingenotice.Restrictions
 	// turnaround is the idle time of a slot between two requests (rule 6).
 	turnaround time.Duration
 	// rate is the sum of the rates of all replicas at ratedAt.
@@ -175,9 +176,9 @@
 	s := b.states[id]
 	if s == nil {
 		s = &state{
-			latency: initialLatency,
-			zones:   make(map[hingeids.Zone]*reachability),
-			limiter: b.limiters.Get(id),
+			latency:     initialLatency,
+			zones:       make(map[hingeids.Zone]*reachability),
+			restriction: b.restrictions.Get(id),
 		}
 		b.states[id] = s
 	}
@@ -406,18 +407,18 @@
 // RecordNotice records what a replica states in an answer. sentAt is when its request was sent, zero if
 // unknown.
 func (b *Balancer) RecordNotice(now, sentAt time.Time, id hingeids.ServerID, n hingenotice.Notice) {
-	if !b.limiters.Update(now, sentAt, id, n.RateLimit) {
+	if !b.restrictions.Update(now, sentAt, id, n) {
 		return
 	}
 	if s := b.states[id]; s != nil {
-		s.limiter = b.limiters.Get(id)
+		s.restriction = b.restrictions.Get(id)
 		b.index.markChanged(s)
 	}
 }
 
 // SetPart sets the part of the replicas' rate limits that may be used.
 func (b *Balancer) SetPart(p hingenotice.Part) {
-	for _, id := range b.limiters.SetPart(p) {
+	for _, id := range b.restrictions.SetPart(p) {
 		if s := b.states[id]; s != nil {
 			b.index.markChanged(s)
 		}
--- a/internal/decide/hingebalance/index.go
+++ b/internal/decide/hingebalance/index.go
@@ -20,7 +20,7 @@
 	zoneNames []hingeids.Zone
 	// paused holds the ejected replicas and those that refused a request, by the end of the pause.
 	paused *tree
-	// held holds the replicas whose rate limit allows no request, by when it does.
+	// held holds the replicas whose statements allow no request, by when they do.
 	held *tree
 	// resting holds the replicas without requests in flight, by when they need a probe.
 	resting *tree
@@ -123,7 +123,7 @@
 	}
 	salt := b.random.Uint64()
 	s.insert(x.latencies, int64(s.latency), salt)
-	heldUntil := s.limiter.HeldUntil(now)
+	heldUntil := s.restriction.HeldUntil(now)
 	held := now.Before(heldUntil)
 	if s.open == 0 && !held {
 		s.insert(x.resting, s.probeDue(), salt)
--- a/internal/decide/hingebalance/limit.go
+++ b/internal/decide/hingebalance/limit.go
@@ -64,7 +64,7 @@
 			concurrency = s.limit(b.turnaround)
 		}
 		perSecond := float64(concurrency) / s.expectedLatency(now).Seconds()
-		if limit, limited := s.limiter.Rate(); limited {
+		if limit, limited := s.restriction.Rate(now); limited {
 			perSecond = min(perSecond, limit)
 		}
 		rate += perSecond
--- a/internal/decide/hingebalance/state.go
+++ b/internal/decide/hingebalance/state.go
@@ -64,8 +64,8 @@
 	zones          map[hingeids.Zone]*reachability
 	lastUsed       time.Time
 	replaced       bool
-	// limiter is nil if the replica has named no rate limit (rule 7).
-	limiter *hingenotice.Limiter
+	// restriction is nil if the replica has stated nothing (rule 7).
+	restriction *hingenotice.Restriction
 }
 
 func (s *state) reachability(z hingeids.Zone) *reachability {
@@ -94,7 +94,7 @@
 	}
 	s.open++
 	s.lastUsed = now
-	s.limiter.RecordSend(now)
+	s.restriction.RecordSend(now)
 }
 
 // expectedLatency returns the average latency, or the time since the last response if that is
@@ -149,7 +149,7 @@
 
 // eligible reports whether a request may be sent to the replica at all, whatever its capacity.
 func (s *state) eligible(now time.Time, constraints Constraints) bool {
-	if s.replaced || slices.Contains(constraints.Avoid, s.replica.Server) {
+	if s.replaced || s.restriction.Leaving(now) || slices.Contains(constraints.Avoid, s.replica.Server) {
 		return false
 	}
 	fromZone := s.reachedFrom(constraints.Zone)
@@ -161,9 +161,9 @@
 	return hingeclock.Later(s.ejected.until, s.refusedUntil)
 }
 
-// held reports whether the replica's rate limit allows no request now.
+// held reports whether the replica's statements allow no request now.
 func (s *state) held(now time.Time) bool {
-	return now.Before(s.limiter.HeldUntil(now))
+	return now.Before(s.restriction.HeldUntil(now))
 }
 
 func (s *state) recordResponse(now time.Time) {
--- a/internal/decide/hingefleet/assign.go
+++ b/internal/decide/hingefleet/assign.go
@@ -86,13 +86,13 @@
 		prefillSince: prefillSinceOf(now, req, a),
 	})
 	decode.health.lastAssigned = now
-	decode.limiter.RecordSend(now)
+	decode.restriction.RecordSend(now)
 	if a.Prefill == "" && !req.Cached {
 		decode.lastPrefill = now
 	}
 	if p := f.engines[a.Prefill]; p != nil {
 		p.health.lastAssigned = now
-		p.limiter.RecordSend(now)
+		p.restriction.RecordSend(now)
 		p.prefillQueue.add(now, req.ID, req.PromptTokens)
 		f.markChanged(p)
 	}
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -46,7 +46,8 @@
 //     or resumed stream still uses a prefill engine, since its caller is waiting for the next event, and
 //     so does one that may not be retried: a prefill alone may be repeated when its engine fails.
 //  11. An engine that names a rate limit in its answers gets no prompt and no stream before the limit
-//     allows it (hingenotice). That is no failure of the engine.
+//     allows it, and one that states that it leaves gets none (hingenotice). That is no failure of the
+//     engine.
 package hingefleet
 
 import (
@@ -165,8 +166,8 @@
 	measuredRate estimate
 	prefillQueue prefillQueue
 	health       health
-	// limiter is nil if the engine has named no rate limit (rule 11).
-	limiter *hingenotice.Limiter
+	// restriction is nil if the engine has stated nothing (rule 11).
+	restriction *hingenotice.Restriction
 	// lastPrefill is when a decode engine was last assigned a prompt to prefill itself.
 	lastPrefill time.Time
 	position    position
@@ -219,7 +220,7 @@
 	startedAt time.Time
 	// zoneLastSeen is when an engine of each zone last answered.
 	zoneLastSeen map[hingeids.Zone]time.Time
-	limiters     hingenotice.Limiters
+	restrictions hingenotice.Restrictions
 	// evaluations counts the evaluations of an engine for a request.
 	evaluations int
 	// silentZones are the zones in which no engine has answered since one was unreachable.
--- a/internal/decide/hingefleet/health.go
+++ b/internal/decide/hingefleet/health.go
@@ -31,14 +31,16 @@
 type Outcome uint8
 
 // Succeeded means that the request succeeded, Failed that the answer was missing or broken, Full
-// that the engine lacked capacity, Unreachable that the connection failed or another server runs at
-// the address, and Started that an answer has started, whatever its result.
+// that the engine lacked capacity, ConnectFailed that the connection failed or another server runs at
+// the address, Started that an answer has started, whatever its result, and NotSent that the owner
+// didn't send the request.
 const (
 	Succeeded Outcome = iota
 	Failed
 	Full
 	ConnectFailed
 	Started
+	NotSent
 )
 
 // health is the health of an engine according to its recent outcomes (rule 6).
--- a/internal/decide/hingefleet/index.go
+++ b/internal/decide/hingefleet/index.go
@@ -15,7 +15,7 @@
 const maxEvaluated = 48
 
 // zoneIndex holds the engines of one zone in the order in which they are evaluated for a request.
-// Engines that are ejected or held back by their rate limit are in none of the lists.
+// Engines that are ejected or held back by their statements are in none of the lists.
 type zoneIndex struct {
 	// decoders are ordered by their forecast.
 	decoders *engineTree
@@ -55,7 +55,7 @@
 	zoneNames []hingeids.Zone
 	// changed are the engines that have to be moved.
 	changed []*engine
-	// ejected holds the ejected engines, and those that are held back by their rate limit, by when they
+	// ejected holds the ejected engines, and those that are held back by their statements, by when they
 	// are usable again.
 	ejected *engineTree
 	// loaded holds the decode engines with streams, rates those with a measured decode rate, the
@@ -269,7 +269,7 @@
 		k = &engine{
 			prefillQueue:  newPrefillQueue(&f.estimates),
 			engineStreams: f.engineStreams(e.Server),
-			limiter:       f.limiters.Get(e.Server),
+			restriction:   f.restrictions.Get(e.Server),
 		}
 		f.engines[e.Server] = k
 	case k.Engine == e:
--- a/internal/decide/hingefleet/notice.go
+++ b/internal/decide/hingefleet/notice.go
@@ -10,13 +10,13 @@
 
 // usable reports whether the engine may be assigned a stream.
 func (e *engine) usable(now time.Time) bool {
-	return e.health.usable(now) && !now.Before(e.limiter.HeldUntil(now))
+	return e.health.usable(now) && !now.Before(e.restriction.HeldUntil(now))
 }
 
-// unusableUntil returns the end of the engine's ejection, or the time before which its rate limit
-// allows no stream if that is later.
+// unusableUntil returns the end of the engine's ejection, or the time before which its statements
+// allow no stream if that is later.
 func (e *engine) unusableUntil(now time.Time) time.Time {
-	return hingeclock.Later(e.health.unusableUntil, e.limiter.HeldUntil(now))
+	return hingeclock.Later(e.health.unusableUntil, e.restriction.HeldUntil(now))
 }
 
 // RecordNotice records what an engine stated in an answer, as a host reports it.
@@ -25,18 +25,18 @@
 }
 
 func (f *Fleet) recordNotice(now, sentAt time.Time, id hingeids.ServerID, n hingenotice.Notice) {
-	if !f.limiters.Update(now, sentAt, id, n.RateLimit) {
+	if !f.restrictions.Update(now, sentAt, id, n) {
 		return
 	}
 	if e := f.engines[id]; e != nil {
-		e.limiter = f.limiters.Get(id)
+		e.restriction = f.restrictions.Get(id)
 		f.markChanged(e)
 	}
 }
 
 // SetPart sets the part of the engines' rate limits that may be used.
 func (f *Fleet) SetPart(p hingenotice.Part) {
-	for _, id := range f.limiters.SetPart(p) {
+	for _, id := range f.restrictions.SetPart(p) {
 		f.markChanged(f.engines[id])
 	}
 }
--- a/internal/decide/hingefleet/queue.go
+++ b/internal/decide/hingefleet/queue.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		tokens := e.prefillQueue.rateAt(now)
-		if limit, limited := e.limiter.Rate(); limited {
+		if limit, limited := e.restriction.Rate(now); limited {
 			tokens = min(tokens, limit*promptTokens)
 		}
 		rate += tokens
--- a/internal/decide/hingefleet/rates.go
+++ b/internal/decide/hingefleet/rates.go
@@ -36,24 +36,24 @@
 		}
 		return true
 	})
-	r.drain = min(r.drain, f.limitedRate())
+	r.drain = min(r.drain, f.restrictedRate(now))
 	r.arrival = float64(len(f.arrivals)) / arrivalWindow.Seconds()
 	f.cachedRates = r
 	f.cachedRatesAt = now
 	return r
 }
 
-// limitedRate returns the rate at which the rate limits of the decode engines allow streams, which is unlimited while an
-// engine has named none.
-func (f *Fleet) limitedRate() float64 {
-	limited, sum := 0, 0.0
-	f.limiters.Scan(func(id hingeids.ServerID, perSecond float64) {
+// restrictedRate returns the rate at which the statements of the decode engines allow streams, which is unlimited while
+// nothing restricts an engine.
+func (f *Fleet) restrictedRate(now time.Time) float64 {
+	restricted, sum := 0, 0.0
+	f.restrictions.Scan(now, func(id hingeids.ServerID, perSecond float64) {
 		if e := f.engines[id]; e != nil && e.Role == Decode {
-			limited++
+			restricted++
 			sum += perSecond
 		}
 	})
-	if limited < len(f.decoders) {
+	if restricted < len(f.decoders) {
 		return math.Inf(1)
 	}
 	return sum
--- a/internal/decide/hingenotice/known.go
+++ b/internal/decide/hingenotice/known.go
@@ -20,10 +20,6 @@
 	Notice Notice `cbor:"4,keyasint"`
 }
 
-// keepTime is how long a statement is kept that no answer repeats. A server that gets no requests for
-// so long states it anew in its first answer.
-const keepTime = 10 * time.Minute
-
 // Known holds the statements in the answers that one host has received. It is not safe for concurrent
 // use.
 type Known struct {
@@ -34,12 +30,9 @@
 
 type known struct {
 	subject Subject
-	limiter Limiter
-	// leavingAt is when the server last stated that it leaves, zero if it doesn't.
-	leavingAt time.Time
+	tracked
 	// change is the number of the last change.
-	change    uint64
-	updatedAt time.Time
+	change uint64
 }
 
 // Changes returns the number of changes so far.
@@ -64,36 +57,33 @@
 		k.servers[subject.Server] = entry
 	}
 	entry.updatedAt = now
-	limitChanged := entry.limiter.Update(now, sentAt, n.RateLimit)
-	leavingChanged := updateLeaving(&entry.leavingAt, now, sentAt, n.Leaving)
-	if !limitChanged && !leavingChanged {
+	if !entry.Update(now, sentAt, n) {
 		return false
 	}
 	k.changes++
 	entry.change = k.changes
-	if !entry.limiter.Limited() && entry.leavingAt.IsZero() {
+	if entry.empty() {
 		delete(k.servers, subject.Server)
 	}
 	return true
 }
 
-// updateLeaving records in leavingAt whether an answer states that its server leaves, and reports whether this has
-// changed. sentAt is as for Limiter.Update.
-func updateLeaving(leavingAt *time.Time, now, sentAt time.Time, leaving bool) bool {
-	left := !leavingAt.IsZero()
-	switch {
-	case leaving:
-		*leavingAt = now
-	case left && sentAt.Before(leavingAt.Add(transitTime)):
-		return false
-	default:
-		*leavingAt = time.Time{}
+// Notice returns what is known of a server.
+func (k *Known) Notice(id hingeids.ServerID) Notice {
+	if entry := k.servers[id]; entry != nil {
+		return entry.notice()
 	}
-	return left != leaving
+	return Notice{}
+}
+
+// Leaving reports whether a server has stated to this host that it leaves.
+func (k *Known) Leaving(now time.Time, id hingeids.ServerID) bool {
+	entry := k.servers[id]
+	return entry != nil && entry.Leaving(now)
 }
 
 // Since returns the statements that changed after the given number of changes, and the present number.
-// The placer learns of a removed limit by the answer itself.
+// The placer learns by the answer itself that a server states nothing any more.
 func (k *Known) Since(change uint64) ([]Statement, uint64) {
 	if change == k.changes {
 		return nil, change
@@ -103,10 +93,7 @@
 		if entry.change > change {
 			out = append(out, Statement{
 				Subject: entry.subject,
-				Notice: Notice{
-					RateLimit: entry.limiter.rate,
-					Leaving:   !entry.leavingAt.IsZero(),
-				},
+				Notice:  entry.notice(),
 			})
 		}
 	}
--- a/internal/decide/hingenotice/limiter.go
+++ b/internal/decide/hingenotice/limiter.go
@@ -36,8 +36,8 @@
 	Host hingeids.HostID
 }
 
-// Limiter spaces the requests to one server by the rate limit that it has named. The zero value and nil
-// have no limit.
+// Limiter spaces the requests to one server by the rate limit that it has named. The zero value has no
+// limit.
 type Limiter struct {
 	rate hingeids.RequestsPerSecond
 	// statedAt is when rate was last stated.
@@ -58,7 +58,7 @@
 // Rate returns the rate at which this placer may send requests, and false if there is no limit.
 func (l *Limiter) Rate() (perSecond float64, limited bool) {
 	switch {
-	case l == nil || l.rate == 0:
+	case l.rate == 0:
 		return 0, false
 	case l.part.Hosts > 0:
 		return localShare * float64(l.rate) / float64(l.part.Hosts), true
--- a/internal/decide/hingenotice/notice_test.go
+++ b/internal/decide/hingenotice/notice_test.go
@@ -157,14 +157,38 @@
 
 // Guards against a successor at the same address that inherits its predecessor's limit or frees it.
 func TestStatementsBelongToOneIncarnation(t *testing.T) {
-	var l Limiters
-	l.Update(start, start, "app-1", 2)
+	var r Restrictions
+	r.Update(start, start, "app-1", Notice{
+		RateLimit: 2,
+		Leaving:   true,
+	})
 	later := start.Add(time.Minute)
-	l.Update(later, later, "app-1.2", 0)
-	if _, limited := l.Get("app-1.2").Rate(); limited {
-		t.Error("the successor is limited")
+	r.Update(later, later, "app-1.2", Notice{})
+	if _, restricted := r.Get("app-1.2").Rate(later); restricted {
+		t.Error("the successor is restricted")
 	}
-	if _, limited := l.Get("app-1").Rate(); !limited {
-		t.Error("the successor's answer has removed the limit")
+	if !r.Get("app-1").Leaving(later) {
+		t.Error("the successor's answer has eased the restriction")
+	}
+}
+
+// Guards against a server that gets no requests for ever after it has stated once that it leaves, and against one that
+// is thought to stay because of an answer that was on its way.
+func TestServerThatStaysIsUsedAgain(t *testing.T) {
+	leaving := Notice{
+		Leaving: true,
+	}
+	var r Restrictions
+	r.Update(start, start, "app-1", leaving)
+	r.Update(start.Add(10*time.Millisecond), start.Add(-time.Millisecond), "app-1", Notice{})
+	if !r.Get("app-1").Leaving(start.Add(keepTime - time.Second)) {
+		t.Error("eased by an earlier request")
+	}
+	if now := start.Add(keepTime); r.Get("app-1").Leaving(now) || now.Before(r.Get("app-1").HeldUntil(now)) {
+		t.Errorf("still held back after %v", keepTime)
+	}
+	r.Update(start.Add(time.Second), start.Add(500*time.Millisecond), "app-1", Notice{})
+	if r.Get("app-1").Leaving(start.Add(time.Second)) {
+		t.Error("not eased by a later request")
 	}
 }
--- a/internal/path/hingeproxy/decode.go
+++ b/internal/path/hingeproxy/decode.go
@@ -24,14 +24,15 @@
 	err      error
 }
 
-func (p *Proxy) startDial(ctx context.Context, address string) *pendingDial {
+func (p *Proxy) startDial(ctx context.Context, id hingeids.ServerID, address string) *pendingDial {
 	d := &pendingDial{
 		done: make(chan struct{}),
 	}
 	var dialCtx context.Context
 	dialCtx, d.stop = context.WithCancel(ctx)
+	address = p.addressOf(id, address)
 	if address == "" {
-		d.err = hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, minRetryAfter, nil)
+		d.err = p.notSent(id)
 		close(d.done)
 		return d
 	}
--- a/internal/path/hingeproxy/notice.go
+++ b/internal/path/hingeproxy/notice.go
@@ -1,11 +1,15 @@
 package hingeproxy
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
@@ -62,6 +66,15 @@
 	return strings.Join(out, ", ")
 }
 
+// noticeOfFailure returns the notice to report with the failure of a request: if it wasn't sent, what this host knows of
+// the server and the placer seems not to know.
+func (p *Proxy) noticeOfFailure(j *job, id hingeids.ServerID, err error) hingenotice.Notice {
+	if errors.Is(err, errWithheld) {
+		return p.owner.Notice(id)
+	}
+	return j.takeNotice()
+}
+
 // takeNotice returns the notice of the last answer for the report of its outcome. It is reported once: when a stream
 // ends, its answer began long ago.
 func (j *job) takeNotice() hingenotice.Notice {
@@ -69,3 +82,16 @@
 	j.notice = hingenotice.Notice{}
 	return n
 }
+
+// errWithheld is the cause of the failure of a request that this host didn't send, because the server that the placer
+// chose has told it not to.
+var errWithheld = eris.New("server has stated that it accepts no requests of this host")
+
+// notSent returns the error of a request that addressOf allows to send nowhere.
+func (p *Proxy) notSent(id hingeids.ServerID) *hingeverdict.Error {
+	cause := errWithheld
+	if !p.owner.Leaving(id) {
+		cause = eris.New("server no longer accepts requests")
+	}
+	return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, minRetryAfter, cause)
+}
--- a/internal/path/hingeproxy/notice_test.go
+++ b/internal/path/hingeproxy/notice_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/decide/hingefleet"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 // replyWith answers a request to a plain service with one more header.
@@ -113,6 +114,36 @@
 	}
 }
 
+// Guards against a request to a server that has told this host that it leaves, though a placer that hasn't been told
+// chooses it, and against its zone counting as unreachable because nothing was sent.
+func TestRequestIsWithheldFromServerThatLeaves(t *testing.T) {
+	a := newStandin(t, "prefill", hingefleet.Prefill, nil)
+	b := newStandin(t, "decode-1", hingefleet.Decode, nil)
+	c := newStandin(t, "decode-2", hingefleet.Decode, nil)
+	x, y := newStandin(t, "app-1", 0, nil), newStandin(t, "app-2", 0, nil)
+	d := newTestProxies(t, 1, a, b, c, x, y)[0]
+	for _, s := range []*standin{b, x} {
+		// Only the gate knows it: the notice isn't reported.
+		d.proxy.owner.RecordNotice(hingenotice.Subject{
+			Service: "unknown",
+			Server:  s.id,
+		}, hingenotice.Notice{
+			Leaving: true,
+		}, time.Now())
+	}
+	for range 10 {
+		if r := d.send("/dossier/7"); r.Status != http.StatusOK || !r.Complete {
+			t.Fatalf("stream: %+v", r)
+		}
+		if r := d.send("/status/7"); r.Status != http.StatusOK {
+			t.Fatalf("plain request: %+v", r)
+		}
+	}
+	if b.ran() != 0 || x.ran() != 0 {
+		t.Errorf("%d and %d requests to servers that leave", b.ran(), x.ran())
+	}
+}
+
 // Guards against an answer that is lost because a header of it that names a limit can't be read.
 func TestUnreadableNoticeIsForwarded(t *testing.T) {
 	replica := newStandin(t, "replica", 0, func(_ int, q *http.Request, c net.Conn) bool {
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -144,13 +144,18 @@
 		// A disconnected caller is no evidence about the replica.
 		outcome = hingebalance.Unknown
 	}
+	reported := outcome
+	if errors.Is(err, errWithheld) {
+		// The replica was not asked, so nothing was observed of it.
+		reported = hingebalance.Unknown
+	}
 	p.owner.CompleteCall(j.service, c, hingequeue.Completion{
 		ID:      id,
 		Server:  c.Server,
-		Outcome: outcome,
+		Outcome: reported,
 		Elapsed: elapsed,
 		Zone:    p.settings.Zone,
-		Notice:  j.takeNotice(),
+		Notice:  p.noticeOfFailure(j, c.Server, err),
 	})
 	if outcome != hingebalance.ConnectFailed {
 		j.attempts++
@@ -185,7 +190,7 @@
 func (p *Proxy) exchange(ctx context.Context, j *job, c hingeplacer.CallPlacement) (*serverAnswer, error) {
 	address := p.addressOf(c.Server, c.Address)
 	if address == "" {
-		return nil, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, 0, eris.New("server no longer accepts requests"))
+		return nil, p.notSent(c.Server)
 	}
 	sentAt := p.settings.Clock()
 	x, err := hingewire.Do(ctx, address, j.message(p.dialect, ForwardInfo{
--- a/internal/path/hingeproxy/prefill.go
+++ b/internal/path/hingeproxy/prefill.go
@@ -14,7 +14,7 @@
 
 func (p *Proxy) prefill(ctx context.Context, r *streamJob, id hingeids.ServerID, address string) (Cache, *hingeverdict.Error) {
 	if address == "" {
-		return Cache{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, minRetryAfter, nil)
+		return Cache{}, p.notSent(id)
 	}
 	prefillCtx, stop := context.WithTimeout(ctx, prefillTimeout)
 	defer stop()
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -290,9 +290,10 @@
 }
 
 // addressOf returns the address of a placed server, empty if this host knows that the server accepts no more
-// requests. A partitioned placer may not know that yet. Servers that only the placer knows are used.
+// requests, by its view or from the server itself. A partitioned placer may not know that yet. Servers that only the
+// placer knows are used.
 func (p *Proxy) addressOf(id hingeids.ServerID, address string) string {
-	if p.view.Removed(id) {
+	if p.view.Removed(id) || p.owner.Leaving(id) {
 		return ""
 	}
 	return address
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -187,7 +188,7 @@
 	defer func() {
 		placed.stream.Finish()
 	}()
-	dial := p.startDial(ctx, p.addressOf(placed.Decode, placed.DecodeAddress))
+	dial := p.startDial(ctx, placed.Decode, placed.DecodeAddress)
 	var cache Cache
 	placedAt := p.settings.Clock()
 	if placed.Prefill != "" {
@@ -223,7 +224,7 @@
 		}
 		placed.stream.Finish()
 		placed = next
-		dial = p.startDial(ctx, p.addressOf(placed.Decode, placed.DecodeAddress))
+		dial = p.startDial(ctx, placed.Decode, placed.DecodeAddress)
 	}
 	p.recordWaste(r, placed, r.info.PromptTokens+generated, err)
 	if cache != (Cache{}) && (err.Verdict == hingeverdict.NotRun || ctx.Err() != nil) {
@@ -306,7 +307,7 @@
 		Elapsed:         now.Sub(r.Arrived),
 		Detail:          err.Error(),
 	})
-	notice := r.takeNotice()
+	notice := p.noticeOfFailure(r.job, id, err)
 	if err.Code == hingeverdict.CodeDeadline {
 		return
 	}
@@ -314,6 +315,9 @@
 }
 
 func engineOutcome(err *hingeverdict.Error) hingefleet.Outcome {
+	if errors.Is(err, errWithheld) {
+		return hingefleet.NotSent
+	}
 	switch err.Code {
 	case hingeverdict.CodeNoServer, hingeverdict.CodeServerGone:
 		return hingefleet.ConnectFailed
