--- a/internal/decide/hingenotice/known.go
+++ b/internal/decide/hingenotice/known.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -24,6 +25,8 @@
 // use.
 type Known struct {
 	servers map[hingeids.ServerID]*known
+	// backoffs has the servers that want no requests of this host for a time.
+	backoffs map[hingeids.ServerID]backoff
 	// changes counts the changes.
 	changes uint64
 }
@@ -35,6 +38,11 @@
 	change uint64
 }
 
+type backoff struct {
+	service hingeids.Service
+	until   time.Time
+}
+
 // Changes returns the number of changes so far.
 func (k *Known) Changes() uint64 {
 	return k.changes
@@ -43,6 +51,28 @@
 // Update records the notice of an answer to a request sent at sentAt, and reports whether it changes
 // what is known.
 func (k *Known) Update(now, sentAt time.Time, subject Subject, n Notice) bool {
+	refused := k.updateBackoff(now, subject, n.Backoff)
+	n.Backoff = 0
+	return k.updateRestriction(now, sentAt, subject, n) || refused
+}
+
+// updateBackoff reports whether the server wants no requests of this host from now on.
+func (k *Known) updateBackoff(now time.Time, subject Subject, d time.Duration) bool {
+	if d == 0 {
+		return false
+	}
+	if k.backoffs == nil {
+		k.backoffs = make(map[hingeids.ServerID]backoff)
+	}
+	before := k.backoffs[subject.Server].until
+	k.backoffs[subject.Server] = backoff{
+		service: subject.Service,
+		until:   hingeclock.Later(before, now.Add(d)),
+	}
+	return before.Before(now)
+}
+
+func (k *Known) updateRestriction(now, sentAt time.Time, subject Subject, n Notice) bool {
 	entry := k.servers[subject.Server]
 	if entry == nil {
 		if n == (Notice{}) {
@@ -108,4 +138,9 @@
 			delete(k.servers, id)
 		}
 	}
+	for id, b := range k.backoffs {
+		if !now.Before(b.until) || gone(id) {
+			delete(k.backoffs, id)
+		}
+	}
 }
--- a/internal/decide/hingenotice/notice.go
+++ b/internal/decide/hingenotice/notice.go
@@ -17,7 +17,11 @@
 //     successor at the same address.
 package hingenotice
 
-import "github.com/swifthinge/swifthinge/internal/core/hingeids"
+import (
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
 
 // Notice is what a server states about itself in one answer. The zero value states nothing.
 type Notice struct {
@@ -26,4 +30,7 @@
 	RateLimit hingeids.RequestsPerSecond `cbor:"1,keyasint,omitempty"`
 	// Leaving means that the server is about to shut down and accepts no new requests.
 	Leaving bool `cbor:"2,keyasint,omitempty"`
+	// Backoff is the time for which the server wants no requests of the host that it has refused one, zero if it states
+	// none.
+	Backoff time.Duration `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/decide/hingenotice/notice_test.go
+++ b/internal/decide/hingenotice/notice_test.go
@@ -45,6 +45,8 @@
 	switch kind {
 	case "limit":
 		got, err = ParseRateLimit(list)
+	case "backoff":
+		got, err = ParseBackoff(list)
 	case "leaving":
 		got, err = ParseLeaving(list)
 	default:
--- a/internal/decide/hingenotice/parse.go
+++ b/internal/decide/hingenotice/parse.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -51,6 +52,26 @@
 	return true, nil
 }
 
+// maxBackoff replaces longer backoffs: a server that changes its mind isn't left without requests for hours.
+const maxBackoff = 10 * time.Minute
+
+// ParseBackoff parses the values of a header with the time that a server that refuses a request wants to be left alone,
+// in seconds. A date can't be read, as clocks differ.
+func ParseBackoff(values []string) (time.Duration, error) {
+	if len(values) == 0 {
+		return 0, nil
+	}
+	text, err := single(values)
+	if err != nil {
+		return 0, err
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds < 0 {
+		return 0, eris.Errorf("time until a retry %q isn't a number of seconds", truncated(text))
+	}
+	return durationOf(min(seconds, maxBackoff.Seconds())), nil
+}
+
 // single returns the value of a header that may occur several times with the same value.
 func single(values []string) (string, error) {
 	text := strings.TrimSpace(values[0])
--- a/internal/path/hingeproxy/notice.go
+++ b/internal/path/hingeproxy/notice.go
@@ -60,6 +60,9 @@
 	if n.Leaving {
 		out = append(out, "leaving")
 	}
+	if n.Backoff > 0 {
+		out = append(out, fmt.Sprint("no requests of this host for ", n.Backoff))
+	}
 	if len(out) == 0 {
 		return "nothing any more"
 	}
--- a/internal/path/hingeproxy/standin_test.go
+++ b/internal/path/hingeproxy/standin_test.go
@@ -75,6 +75,7 @@
 func (testDialect) Reply(r *http.Response) Reply {
 	rateLimit, err := hingenotice.ParseRateLimit(r.Header.Values("Rate-Limit"))
 	leaving, leavingErr := hingenotice.ParseLeaving(r.Header.Values("Leaving"))
+	backoff, backoffErr := hingenotice.ParseBackoff(r.Header.Values("Retry-After"))
 	return Reply{
 		ID:             RequestID(r.Header.Get("Id")),
 		NotRun:         r.Header.Get("Not-Run") != "",
@@ -83,8 +84,9 @@
 		Notice: hingenotice.Notice{
 			RateLimit: rateLimit,
 			Leaving:   leaving,
+			Backoff:   backoff,
 		},
-		NoticeError: errors.Join(err, leavingErr),
+		NoticeError: errors.Join(err, leavingErr, backoffErr),
 	}
 }
 
@@ -386,8 +388,11 @@
 type testProxy struct {
 	t       *testing.T
 	address string
-	proxy   *Proxy
-	cluster *cluster
+	host    hingeids.HostID
+	// retryAfter is the Retry-After of the last answer.
+	retryAfter time.Duration
+	proxy      *Proxy
+	cluster    *cluster
 	// requests counts the requests sent, for their ids; maxWait is the callers' timeout.
 	requests int
 	maxWait  time.Duration
@@ -486,6 +491,7 @@
 	return &testProxy{
 		t:       t,
 		address: l.Addr().String(),
+		host:    host,
 		proxy:   p,
 		cluster: c,
 		maxWait: 2500 * time.Millisecond,
@@ -542,6 +548,7 @@
 	}
 	q.Host = "quay.example"
 	q.Header.Set("Id", fmt.Sprint("request-", n))
+	q.Header.Set("Via-Host", string(d.host))
 	q.Header.Set("Left", fmt.Sprint(d.maxWait.Milliseconds()))
 	if strings.HasPrefix(target, "/dossier") || strings.HasPrefix(target, "/health") {
 		q.Header.Set("Prompt", "1000")
@@ -568,6 +575,8 @@
 	defer func() {
 		_ = a.Body.Close()
 	}()
+	seconds, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	d.retryAfter = time.Duration(seconds * float64(time.Second))
 	b, err := io.ReadAll(a.Body)
 	return result{
 		Status:     a.StatusCode,
