--- a/internal/path/hingeproxy/notice_test.go
+++ b/internal/path/hingeproxy/notice_test.go
@@ -144,6 +144,77 @@
 	}
 }
 
+// refuseFor refuses a request and asks for no further one for a number of seconds.
+func refuseFor(c net.Conn, seconds float64) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nRetry-After: %g\r\nContent-Length: 0\r\n\r\n", seconds)
+}
+
+// Guards against requests of a host to a server that has refused one of its requests and asked it for a pause, while
+// other hosts, which it serves, go on using it.
+func TestServerThatRefusesIsLeftAlone(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	var mu sync.Mutex
+	refusedAt := make(map[string]time.Time)
+	arrivals := make(map[string]int)
+	served := 0
+	refuses := newStandin(t, "refuses", 0, func(_ int, q *http.Request, c net.Conn) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		host := q.Header.Get("Via-Host")
+		if host == "entry-3" {
+			served++
+			return false
+		}
+		if at, refused := refusedAt[host]; refused && time.Since(at) < pause {
+			arrivals[host]++
+		} else {
+			refusedAt[host] = time.Now()
+		}
+		refuseFor(c, pause.Seconds())
+		return true
+	})
+	accepts := newStandin(t, "accepts", 0, nil)
+	answers := sendFor(newTestProxies(t, 3, refuses, accepts), "/lookup/7", 10*time.Millisecond, 4*time.Second)
+	for host, n := range arrivals {
+		// Two are allowed in each pause, for requests that were on their way.
+		if n > 4 {
+			t.Errorf("%s sent %d requests in its pauses", host, n)
+		}
+	}
+	if len(refusedAt) == 0 || served == 0 {
+		t.Errorf("%d hosts were refused, %d requests of another host served", len(refusedAt), served)
+	}
+	for _, a := range answers {
+		if a.Status != http.StatusOK {
+			t.Fatalf("status %d beside a replica that accepts", a.Status)
+		}
+	}
+}
+
+// Guards against callers that wait in vain, or come back too early, while all replicas want no requests.
+func TestCallerIsToldTheEndOfAllPauses(t *testing.T) {
+	refuse := func(_ int, _ *http.Request, c net.Conn) bool {
+		refuseFor(c, 2)
+		return true
+	}
+	a, b := newStandin(t, "app-1", 0, refuse), newStandin(t, "app-2", 0, refuse)
+	d := newTestProxies(t, 1, a, b)[0]
+	d.send("/status/7")
+	d.send("/status/7")
+	before := a.ran() + b.ran()
+	start := time.Now()
+	r := d.send("/status/7")
+	if r.Status != http.StatusServiceUnavailable || time.Since(start) > 100*time.Millisecond {
+		t.Errorf("status %d after %v", r.Status, time.Since(start))
+	}
+	if d.retryAfter < 1500*time.Millisecond || d.retryAfter > 3*time.Second {
+		t.Errorf("Retry-After %v, while all replicas want no requests for two seconds", d.retryAfter)
+	}
+	if n := a.ran() + b.ran() - before; n != 0 {
+		t.Errorf("%d requests to replicas that want none", n)
+	}
+}
+
 // Guards against an answer that is lost because a header of it that names a limit can't be read.
 func TestUnreadableNoticeIsForwarded(t *testing.T) {
 	replica := newStandin(t, "replica", 0, func(_ int, q *http.Request, c net.Conn) bool {
