Hosts leave servers alone that ask them for a pause

Ruled out: the wish kept by the host alone while the placer sends it others (each host was refused again and again), and probes alone (8 to 11 a second).

Change: the pause belongs to the host that was refused. It keeps it, names these servers in its requests for a placement (24 at the most, by count; the rest it withholds itself before sending), and refuses at once, with the time until the first pause ends and up to a quarter more, drawn, when all servers of a service want none of it. The placer is told that a host was refused: other hosts go on using the server, without the pause and the lower limit after an ordinary refusal, since the host itself stays away. Only after three refused hosts in a row without an answer in between all avoid it, for 60 ms doubling up to a second, one request at a time.

--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -1,6 +1,7 @@
 package hingeplacer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
@@ -55,6 +56,8 @@
 	// of the answer from another host.
 	MayRetry bool `cbor:"18,keyasint,omitempty"`
 	Resumed  bool `cbor:"19,keyasint,omitempty"`
+	// Backoffs are engines that want no requests of the owner for a while.
+	Backoffs []hingeids.ServerID `cbor:"20,keyasint,omitempty"`
 }
 
 // fleetRequest converts the message to a request of the fleet, with times on this host's clock.
@@ -72,7 +75,7 @@
 		Deadline:       now.Add(r.TimeToDeadline),
 		Moved:          r.Moved,
 		Cached:         r.Cached,
-		Avoid:          r.Avoid,
+		Avoid:          slices.Concat(r.Avoid, r.Backoffs),
 		Priority:       r.Priority,
 		MayRetry:       r.MayRetry,
 		Resumed:        r.Resumed,
@@ -178,6 +181,8 @@
 	// Fingerprint is the request's fingerprint. Crashes are the server crashes during this attempt.
 	Fingerprint hingeids.Fingerprint `cbor:"10,keyasint,omitempty"`
 	Crashes     []hingepoison.Crash  `cbor:"11,keyasint,omitempty"`
+	// Backoffs are replicas that want no requests of the owner for a while.
+	Backoffs []hingeids.ServerID `cbor:"12,keyasint,omitempty"`
 }
 
 func (c CallRequest) withElapsed(elapsed time.Duration) CallRequest {
@@ -194,7 +199,7 @@
 		SoftDeadline: now.Add(c.TimeToSoftDeadline),
 		Deadline:     now.Add(c.TimeToDeadline),
 		MaxWait:      c.MaxWait,
-		Avoid:        c.Avoid,
+		Avoid:        slices.Concat(c.Avoid, c.Backoffs),
 		Priority:     c.Priority,
 	}
 }
--- a/internal/capacity/hingeplacer/notices.go
+++ b/internal/capacity/hingeplacer/notices.go
@@ -1,6 +1,7 @@
 package hingeplacer
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -41,11 +42,36 @@
 	return o.notices.known.Notice(id)
 }
 
-// Leaving reports whether a server has stated to this host that it leaves.
-func (o *Owner) Leaving(id hingeids.ServerID) bool {
+// Withholds reports whether this host sends no requests to a server, because it has stated to this host that it leaves
+// or that it wants none for a while.
+func (o *Owner) Withholds(id hingeids.ServerID) bool {
+	now := o.clock()
 	o.notices.mu.Lock()
 	defer o.notices.mu.Unlock()
-	return o.notices.known.Leaving(o.clock(), id)
+	return o.notices.known.Leaving(now, id) || o.notices.known.BackingOff(now, id)
+}
+
+const (
+	// maxBackoffsSent bounds the servers in a request for a placement: a datagram has about 1,200 bytes. The host withholds
+	// its requests from the others itself.
+	maxBackoffsSent = 24
+	// backoffSpread is the share of a pause over which callers are told to come back after its end, so that they don't
+	// come at the same moment.
+	backoffSpread = 0.25
+)
+
+// backoffs returns the servers of a service that want no requests of this host now. If these are all of the service, the
+// request is refused until the first of them accepts requests again.
+func (o *Owner) backoffs(s hingeids.Service) (list []hingeids.ServerID, retryAfter time.Duration, refused bool) {
+	now := o.clock()
+	o.notices.mu.Lock()
+	list, count, first := o.notices.known.Backoffs(now, s, maxBackoffsSent)
+	o.notices.mu.Unlock()
+	if count == 0 || count < o.view.ServerCount(s) {
+		return list, 0, false
+	}
+	wait := first.Sub(now)
+	return list, wait + time.Duration(rand.Float64()*backoffSpread*float64(wait)), true
 }
 
 func (s *noticeState) idle() bool {
--- a/internal/capacity/hingeplacer/notices_test.go
+++ b/internal/capacity/hingeplacer/notices_test.go
@@ -24,8 +24,7 @@
 	}, n, time.Now())
 }
 
-// callsTo places n requests of a host, 10 ms apart, and returns how many went to app-1. The replicas state nothing in
-// their answers.
+// callsTo places n requests of a host, 10 ms apart, and returns how many went to app-1.
 func (cl *cluster) callsTo(t *testing.T, owner, n int) int {
 	t.Helper()
 	sent := 0
@@ -40,7 +39,9 @@
 		done := completionOf(c, a)
 		if a.Server == "app-1" {
 			sent++
-			done.Notice = limitedTo
+			if cl.limited {
+				done.Notice = limitedTo
+			}
 		}
 		cl.owners[owner].CompleteCall("app", a, done)
 	}
@@ -61,6 +62,7 @@
 // them before it places anything there.
 func TestNextLeaderKeepsTheRateLimits(t *testing.T) {
 	withCluster(t, func(t *testing.T, cl *cluster) {
+		cl.limited = true
 		cl.stateTo(0, hingenotice.Notice{
 			RateLimit: 0.1,
 		})
@@ -75,6 +77,7 @@
 // Guards against a host that reaches no placer and exceeds its part of a limit that it was told itself.
 func TestHostWithoutPlacerKeepsTheRateLimits(t *testing.T) {
 	withCluster(t, func(t *testing.T, cl *cluster) {
+		cl.limited = true
 		cl.stateTo(0, limitedTo)
 		time.Sleep(100 * time.Millisecond)
 		cl.network.Remove("control-1")
@@ -92,7 +95,7 @@
 		cl.stateTo(0, hingenotice.Notice{
 			Leaving: true,
 		})
-		if !cl.owners[0].Leaving("app-1") {
+		if !cl.owners[0].Withholds("app-1") {
 			t.Error("the host doesn't know it")
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -110,6 +113,35 @@
 	})
 }
 
+// Guards against requests of a host to a server that wants none of it for a while, whichever placer chooses, and against
+// other hosts that lose the server meanwhile.
+func TestBackoffConcernsOneHost(t *testing.T) {
+	withCluster(t, func(t *testing.T, cl *cluster) {
+		cl.stateTo(0, hingenotice.Notice{
+			Backoff: 8 * time.Second,
+		})
+		for _, change := range []func(){
+			func() {},
+			cl.nextLeader,
+			func() {
+				cl.network.Remove("control-2")
+			},
+		} {
+			change()
+			if n := cl.callsTo(t, 0, 50); n != 0 {
+				t.Errorf("%d requests of the host in its pause", n)
+			}
+			if n := cl.callsTo(t, 1, 50); n == 0 {
+				t.Error("no request of another host")
+			}
+		}
+		time.Sleep(8 * time.Second)
+		if n := cl.callsTo(t, 0, 50); n == 0 {
+			t.Error("no request of the host after its pause")
+		}
+	})
+}
+
 // Guards against limits that are reported again and again: a report carries what has changed since the last one that
 // the placer has received, and everything to a new placer.
 func TestStatementsAreReportedOnce(t *testing.T) {
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -125,6 +125,14 @@
 	start := o.clock()
 	waited := r.Waited
 	for ctx.Err() == nil {
+		backoffs, after, refused := o.backoffs(r.Service)
+		if refused {
+			return Placement{
+				Refused:    true,
+				RetryAfter: after,
+			}
+		}
+		r.Backoffs = backoffs
 		r.Waited = waited + o.clock().Sub(start)
 		r.Charge.NearLimit = o.mayBeNearLimit(r.Charge)
 		if a := o.placeOnce(ctx, r); !a.Undecided {
--- a/internal/capacity/hingeplacer/placecall.go
+++ b/internal/capacity/hingeplacer/placecall.go
@@ -21,6 +21,14 @@
 			Cause:      Poison,
 		}
 	}
+	backoffs, after, refused := o.backoffs(c.Service)
+	if refused {
+		return CallPlacement{
+			Refused:    true,
+			RetryAfter: after,
+		}
+	}
+	c.Backoffs = backoffs
 	start := o.clock()
 	c.Charge.NearLimit = o.mayBeNearLimit(c.Charge)
 	var placement CallPlacement
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -23,8 +23,9 @@
 //     smaller than one retry, the elected leader has the budget, and hosts request each retry from it.
 //  9. The placer obeys what servers state in their answers (hingenotice). It learns of it with the
 //     outcome of each request. Each owner keeps what it was told itself, reports it to a placer that
-//     doesn't know it, and sends nothing to a server that has told it that it leaves, whatever placer
-//     chose it.
+//     doesn't know it, and sends nothing to a server that has told it that it leaves, or that it
+//     wants no requests for a while, whatever placer chose it. The pause concerns this host alone, so
+//     its requests name the servers that they must not be placed on.
 package hingeplacer
 
 import (
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -114,6 +114,8 @@
 	leads   map[hingeids.HostID]*atomic.Bool
 	owners  []*Owner
 	views   []*clusterView
+	// limited makes app-1 name its rate limit in its answers.
+	limited bool
 }
 
 func withCluster(t *testing.T, f func(t *testing.T, cl *cluster)) {
--- a/internal/decide/hingebalance/balance.go
+++ b/internal/decide/hingebalance/balance.go
@@ -29,7 +29,11 @@
 //     one that states that it leaves gets none (hingenotice). That is no failure: neither is ejected
 //     nor probed, and rule 4 doesn't apply to them. Requests wait for a limited replica as for one at
 //     its limit of requests in flight.
-//  8. A decision evaluates the cheapest replicas only, in the order of an index (index.go), so that
+//  8. A replica that refuses a request and wants none of that host for a while is listed in the
+//     Constraints.Avoid of the host's requests. Other hosts go on using it. Only if it refuses several
+//     hosts in a row and answers none, all avoid it for a time that doubles with each further one, or
+//     hundreds of hosts would find out one by one.
+//  9. A decision evaluates the cheapest replicas only, in the order of an index (index.go), so that
 //     its cost doesn't grow with the replicas.
 package hingebalance
 
@@ -37,6 +41,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
@@ -77,7 +82,7 @@
 type Outcome uint8
 
 // Answered means that the replica responded, with any status; Full that it refused for lack of
-// capacity; Failed that the response was missing or incomplete; ConnectFailed that no connection
+// capacity; HostRefused that it refused and wants no requests of this host for a while; Failed that the response was missing or incomplete; ConnectFailed that no connection
 // was established; Replaced that another server has the address; Unknown that the outcome says
 // nothing about the replica, for example because the caller disconnected.
 const (
@@ -87,6 +92,7 @@
 	ConnectFailed
 	Replaced
 	Unknown
+	HostRefused
 )
 
 // Result is the result of Choose.
@@ -130,6 +136,10 @@
 	// refusalPause is how long a replica is avoided after it refused a request for lack of
 	// capacity.
 	refusalPause = 60 * time.Millisecond
+	// maxHostRefusals is the number of consecutive refused hosts after which other hosts avoid the
+	// replica too, and maxHostRefusalPause the longest time for which they do (rule 8).
+	maxHostRefusals     = 3
+	maxHostRefusalPause = time.Second
 	// probeAfter is how long a replica may go unused before it gets a probe (rule 5).
 	probeAfter = 3 * time.Second
 	// requestsPerProbe limits probes to a share of the requests.
@@ -386,8 +396,10 @@
 	case Answered:
 		s.recordAnswer(now, elapsed)
 	case Full:
-		s.refusedUntil = now.Add(refusalPause)
+		s.refusedUntil = hingeclock.Later(s.refusedUntil, now.Add(refusalPause))
 		s.recordRefusal()
+	case HostRefused:
+		s.recordHostRefusal(now)
 	case Replaced:
 		s.replaced = true
 	case ConnectFailed:
--- a/internal/decide/hingebalance/limit.go
+++ b/internal/decide/hingebalance/limit.go
@@ -27,6 +27,10 @@
 	if r.MaxConnections > 0 {
 		limit = min(limit, r.MaxConnections)
 	}
+	if s.hostRefusals >= maxHostRefusals {
+		// One request finds out whether the replica accepts requests again.
+		limit = 1
+	}
 	return limit
 }
 
--- a/internal/decide/hingebalance/state.go
+++ b/internal/decide/hingebalance/state.go
@@ -64,6 +64,8 @@
 	zones          map[hingeids.Zone]*reachability
 	lastUsed       time.Time
 	replaced       bool
+	// hostRefusals is the number of consecutive refused hosts (rule 8).
+	hostRefusals int
 	// restriction is nil if the replica has stated nothing (rule 7).
 	restriction *hingenotice.Restriction
 }
@@ -166,6 +168,15 @@
 	return now.Before(s.restriction.HeldUntil(now))
 }
 
+// recordHostRefusal implements rule 8.
+func (s *state) recordHostRefusal(now time.Time) {
+	s.hostRefusals++
+	if n := s.hostRefusals - maxHostRefusals; n >= 0 {
+		pause := min(refusalPause<<min(n, 8), maxHostRefusalPause)
+		s.refusedUntil = hingeclock.Later(s.refusedUntil, now.Add(pause))
+	}
+}
+
 func (s *state) recordResponse(now time.Time) {
 	s.waitingSince = time.Time{}
 	if s.open > 0 {
@@ -180,6 +191,7 @@
 	}
 	s.latency += time.Duration(latencyWeight * float64(elapsed-s.latency))
 	s.failureRate -= failureWeight * s.failureRate
+	s.hostRefusals = 0
 	s.ejected.reset(now)
 	s.restoreLimit()
 }
--- a/internal/decide/hingefleet/fleet.go
+++ b/internal/decide/hingefleet/fleet.go
@@ -47,7 +47,8 @@
 //     so does one that may not be retried: a prefill alone may be repeated when its engine fails.
 //  11. An engine that names a rate limit in its answers gets no prompt and no stream before the limit
 //     allows it, and one that states that it leaves gets none (hingenotice). That is no failure of the
-//     engine.
+//     engine. One that wants no requests of a host for a while is in the Avoid list of that host's
+//     requests.
 package hingefleet
 
 import (
--- a/internal/decide/hingefleet/health.go
+++ b/internal/decide/hingefleet/health.go
@@ -18,6 +18,9 @@
 	// hundred milliseconds, but an engine with slow KV cache transfers keeps refusing.
 	minFullBackoff = 300 * time.Millisecond
 	maxFullBackoff = 2400 * time.Millisecond
+	// maxHostRefusals is the number of consecutive refused hosts after which other hosts avoid the
+	// engine too.
+	maxHostRefusals = 3
 	// failureWeight is the weight of a new outcome. An engine whose share of failures exceeds
 	// ejectionThreshold is ejected: two consecutive failures, or four of ten.
 	failureWeight     = 0.25
@@ -32,8 +35,9 @@
 
 // Succeeded means that the request succeeded, Failed that the answer was missing or broken, Full
 // that the engine lacked capacity, ConnectFailed that the connection failed or another server runs at
-// the address, Started that an answer has started, whatever its result, and NotSent that the owner
-// didn't send the request.
+// the address, Started that an answer has started, whatever its result, NotSent that the owner didn't
+// send the request, and HostRefused that the engine refused it and wants no requests of the owner for
+// a while.
 const (
 	Succeeded Outcome = iota
 	Failed
@@ -41,6 +45,7 @@
 	ConnectFailed
 	Started
 	NotSent
+	HostRefused
 )
 
 // health is the health of an engine according to its recent outcomes (rule 6).
@@ -51,8 +56,10 @@
 	// unusableUntil.
 	ejections     int
 	unusableUntil time.Time
-	// fullsInRow is the number of consecutive refusals for lack of capacity.
-	fullsInRow int
+	// fullsInRow is the number of consecutive refusals for lack of capacity, hostRefusals that of
+	// consecutive refused hosts.
+	fullsInRow   int
+	hostRefusals int
 	// suspect reports that the engine has not been reached since it or its zone failed; such an
 	// engine is only probed. lastAssigned is when it was last assigned a stream.
 	suspect      bool
@@ -150,8 +157,13 @@
 	case Started:
 		h.markReachable()
 	case Full:
-		h.unusableUntil = hingeclock.Later(h.unusableUntil, now.Add(min(minFullBackoff<<min(h.fullsInRow, 4), maxFullBackoff)))
-		h.fullsInRow++
+		h.backOff(now)
+	case HostRefused:
+		// Other hosts avoid the engine only if it refuses one after the other.
+		h.hostRefusals++
+		if h.hostRefusals >= maxHostRefusals {
+			h.backOff(now)
+		}
 	case ConnectFailed:
 		h.eject(now)
 		h.unreachable = true
@@ -163,8 +175,14 @@
 	}
 }
 
+func (h *health) backOff(now time.Time) {
+	h.unusableUntil = hingeclock.Later(h.unusableUntil, now.Add(min(minFullBackoff<<min(h.fullsInRow, 4), maxFullBackoff)))
+	h.fullsInRow++
+}
+
 func (h *health) markReachable() {
 	h.fullsInRow = 0
+	h.hostRefusals = 0
 	h.suspect = false
 	h.unreachable = false
 }
--- a/internal/decide/hingefleet/notice.go
+++ b/internal/decide/hingefleet/notice.go
@@ -44,7 +44,7 @@
 // recordOutcomeNotice records the notice of an outcome. Without a notice, the outcome of a request that
 // this fleet placed shows that the engine states nothing.
 func (f *Fleet) recordOutcomeNotice(now time.Time, e *engine, r OutcomeReport) {
-	answered := r.Outcome == Full || r.Outcome == Started && e.Role == Decode || r.Outcome == Succeeded && e.Role == Prefill
+	answered := r.Outcome == Full || r.Outcome == HostRefused || r.Outcome == Started && e.Role == Decode || r.Outcome == Succeeded && e.Role == Prefill
 	if r.Notice == (hingenotice.Notice{}) && !answered {
 		return
 	}
--- a/internal/decide/hingenotice/known.go
+++ b/internal/decide/hingenotice/known.go
@@ -106,6 +106,29 @@
 	return Notice{}
 }
 
+// BackingOff reports whether a server wants no requests of this host now.
+func (k *Known) BackingOff(now time.Time, id hingeids.ServerID) bool {
+	return now.Before(k.backoffs[id].until)
+}
+
+// Backoffs returns the servers of a service that want no requests of this host now, at most the given number, how many
+// they are in all, and when the first of them accepts requests again.
+func (k *Known) Backoffs(now time.Time, service hingeids.Service, most int) (list []hingeids.ServerID, count int, first time.Time) {
+	for id, b := range k.backoffs {
+		if b.service != service || !now.Before(b.until) {
+			continue
+		}
+		if count == 0 || b.until.Before(first) {
+			first = b.until
+		}
+		count++
+		if len(list) < most {
+			list = append(list, id)
+		}
+	}
+	return list, count, first
+}
+
 // Leaving reports whether a server has stated to this host that it leaves.
 func (k *Known) Leaving(now time.Time, id hingeids.ServerID) bool {
 	entry := k.servers[id]
--- a/internal/decide/hingenotice/notice.go
+++ b/internal/decide/hingenotice/notice.go
@@ -13,7 +13,9 @@
 //  3. A rate limit applies to all hosts together. The placer spaces the requests of all hosts
 //     (Limiter). A host that places locally may send in short windows only, at times that differ
 //     between hosts (Part), so that all such hosts together stay within the limit at any number.
-//  4. A statement belongs to one incarnation of a server. It is neither inherited nor eased by a
+//  4. A server that refuses a request may ask for a pause (Notice.Backoff). It applies to the host whose
+//     request was refused and to no other, and ends by itself.
+//  5. A statement belongs to one incarnation of a server. It is neither inherited nor eased by a
 //     successor at the same address.
 package hingenotice
 
@@ -31,6 +33,6 @@
 	// Leaving means that the server is about to shut down and accepts no new requests.
 	Leaving bool `cbor:"2,keyasint,omitempty"`
 	// Backoff is the time for which the server wants no requests of the host that it has refused one, zero if it states
-	// none.
-	Backoff time.Duration `cbor:"3,keyasint,omitempty"`
+	// none. It is no matter of the placer's: the outcome says that the host was refused.
+	Backoff time.Duration `cbor:"-"`
 }
--- a/internal/decide/hingequeue/notice_test.go
+++ b/internal/decide/hingequeue/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -144,3 +145,121 @@
 		t.Errorf("Retry-After %v, while a request is due every two seconds", shortest)
 	}
 }
+
+// refusingService is a service of three replicas, one of which refuses hosts that then leave it alone for backoff.
+type refusingService struct {
+	hosts int
+	// refuses reports whether the replica refuses a host.
+	refuses func(host int) bool
+	// arrivals and refused count its requests.
+	arrivals int
+	refused  int
+}
+
+const backoff = 3 * time.Second
+
+func (s *refusingService) run(rate int, length time.Duration) {
+	const tick = 5 * time.Millisecond
+	q := New(1)
+	q.SetReplicas([]hingebalance.Replica{
+		{
+			Server: "app-0",
+			Slots:  6,
+		},
+		{
+			Server: "app-1",
+			Slots:  6,
+		},
+		{
+			Server: "app-2",
+			Slots:  6,
+		},
+	})
+	random := rand.New(rand.NewPCG(1, 2))
+	completions := make(map[time.Time][]Completion)
+	hostOf := make(map[CallID]int)
+	until := make(map[int]time.Time)
+	start := time.Unix(1000, 0)
+	sequence := 0
+	for now := start; now.Before(start.Add(length)); now = now.Add(tick) {
+		for _, c := range completions[now] {
+			if c.Outcome == hingebalance.HostRefused {
+				until[hostOf[c.ID]] = now.Add(backoff)
+			}
+			q.RecordCompletion(now, c)
+		}
+		for ; sequence < int(float64(rate)*now.Sub(start).Seconds()); sequence++ {
+			id, host := CallID(fmt.Sprint(sequence)), random.IntN(s.hosts)
+			hostOf[id] = host
+			r := CallRequest{
+				ID:           id,
+				SoftDeadline: now.Add(150 * time.Millisecond),
+				Deadline:     now.Add(time.Second),
+			}
+			if now.Before(until[host]) {
+				r.Avoid = []hingeids.ServerID{"app-0"}
+			}
+			q.Enqueue(now, r)
+		}
+		for _, d := range q.Step(now) {
+			if d.Refused {
+				continue
+			}
+			c := Completion{
+				ID:      d.ID,
+				Server:  d.Server,
+				Outcome: hingebalance.Answered,
+				Elapsed: 20 * time.Millisecond,
+			}
+			if d.Server == "app-0" {
+				s.arrivals++
+				if s.refuses != nil && now.After(start.Add(time.Second)) && s.refuses(hostOf[d.ID]) {
+					s.refused++
+					c.Outcome = hingebalance.HostRefused
+					c.Elapsed = tick
+				}
+			}
+			completions[now.Add(c.Elapsed)] = append(completions[now.Add(c.Elapsed)], c)
+		}
+	}
+}
+
+// Guards against hundreds of hosts that find out one by one, again and again, that a replica refuses all of them.
+func TestReplicaThatRefusesAllHostsIsTriedSeldom(t *testing.T) {
+	const length = 31 * time.Second
+	for _, hosts := range []int{6, 74, 300, 985} {
+		s := refusingService{
+			hosts: hosts,
+			refuses: func(int) bool {
+				return true
+			},
+		}
+		s.run(500, length)
+		if s.refused == 0 || s.refused > 60 {
+			t.Errorf("%d hosts: %d requests refused in 30 s, want at most two a second", hosts, s.refused)
+		}
+	}
+}
+
+// Guards against hosts that lose a replica because it refuses other hosts.
+func TestReplicaThatRefusesSomeHostsIsUsedByTheOthers(t *testing.T) {
+	const length = 31 * time.Second
+	for _, hosts := range []int{6, 74, 300, 985} {
+		usual := refusingService{
+			hosts: hosts,
+		}
+		usual.run(500, length)
+		s := refusingService{
+			hosts: hosts,
+			refuses: func(host int) bool {
+				return host%3 == 0
+			},
+		}
+		s.run(500, length)
+		share := float64(s.arrivals-s.refused) / float64(usual.arrivals)
+		t.Logf("%d hosts: %d refused, %.2f of the usual answered", hosts, s.refused, share)
+		if share < 0.6 {
+			t.Errorf("%d hosts: it answers %.2f of its usual requests, while it refuses a third of the hosts", hosts, share)
+		}
+	}
+}
--- a/internal/decide/hingequeue/queue.go
+++ b/internal/decide/hingequeue/queue.go
@@ -198,8 +198,7 @@
 			q.balancer.SetTurnaround(q.turnaround)
 		}
 	}
-	if n := completion.Notice; n != (hingenotice.Notice{}) || completion.Outcome == hingebalance.Answered || completion.Outcome == hingebalance.Full {
-		// Of other outcomes it isn't known whether there was an answer.
+	if n := completion.Notice; n != (hingenotice.Notice{}) || answered(completion.Outcome) {
 		q.balancer.RecordNotice(now, now.Add(-completion.Elapsed), completion.Server, n)
 	}
 	if completion.Outcome != hingebalance.Unknown {
@@ -207,6 +206,11 @@
 	}
 }
 
+// answered reports whether an outcome shows that the replica has answered. Of others it isn't known.
+func answered(o hingebalance.Outcome) bool {
+	return o == hingebalance.Answered || o == hingebalance.Full || o == hingebalance.HostRefused
+}
+
 // RecordNotice records what a replica stated in an answer, as another host reports it.
 func (q *Queue) RecordNotice(now time.Time, id hingeids.ServerID, n hingenotice.Notice) {
 	q.balancer.RecordNotice(now, time.Time{}, id, n)
--- a/internal/path/hingeproxy/notice.go
+++ b/internal/path/hingeproxy/notice.go
@@ -93,7 +93,7 @@
 // notSent returns the error of a request that addressOf allows to send nowhere.
 func (p *Proxy) notSent(id hingeids.ServerID) *hingeverdict.Error {
 	cause := errWithheld
-	if !p.owner.Leaving(id) {
+	if !p.owner.Withholds(id) {
 		cause = eris.New("server no longer accepts requests")
 	}
 	return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoServer, minRetryAfter, cause)
--- a/internal/path/hingeproxy/notice_test.go
+++ b/internal/path/hingeproxy/notice_test.go
@@ -157,10 +157,14 @@
 	refusedAt := make(map[string]time.Time)
 	arrivals := make(map[string]int)
 	served := 0
+	var overloaded atomic.Bool
 	refuses := newStandin(t, "refuses", 0, func(_ int, q *http.Request, c net.Conn) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		host := q.Header.Get("Via-Host")
+		if !overloaded.Load() {
+			return false
+		}
 		if host == "entry-3" {
 			served++
 			return false
@@ -174,7 +178,10 @@
 		return true
 	})
 	accepts := newStandin(t, "accepts", 0, nil)
-	answers := sendFor(newTestProxies(t, 3, refuses, accepts), "/lookup/7", 10*time.Millisecond, 4*time.Second)
+	hosts := newTestProxies(t, 3, refuses, accepts)
+	sendFor(hosts, "/lookup/7", 10*time.Millisecond, 300*time.Millisecond)
+	overloaded.Store(true)
+	answers := sendFor(hosts, "/lookup/7", 10*time.Millisecond, 4*time.Second)
 	for host, n := range arrivals {
 		// Two are allowed in each pause, for requests that were on their way.
 		if n > 4 {
--- a/internal/path/hingeproxy/plain.go
+++ b/internal/path/hingeproxy/plain.go
@@ -144,10 +144,14 @@
 		// A disconnected caller is no evidence about the replica.
 		outcome = hingebalance.Unknown
 	}
+	notice := p.noticeOfFailure(j, c.Server, err)
 	reported := outcome
-	if errors.Is(err, errWithheld) {
+	switch {
+	case errors.Is(err, errWithheld):
 		// The replica was not asked, so nothing was observed of it.
 		reported = hingebalance.Unknown
+	case outcome == hingebalance.Full && notice.Backoff > 0:
+		reported = hingebalance.HostRefused
 	}
 	p.owner.CompleteCall(j.service, c, hingequeue.Completion{
 		ID:      id,
@@ -155,7 +159,7 @@
 		Outcome: reported,
 		Elapsed: elapsed,
 		Zone:    p.settings.Zone,
-		Notice:  p.noticeOfFailure(j, c.Server, err),
+		Notice:  notice,
 	})
 	if outcome != hingebalance.ConnectFailed {
 		j.attempts++
--- a/internal/path/hingeproxy/proxy.go
+++ b/internal/path/hingeproxy/proxy.go
@@ -293,7 +293,7 @@
 // requests, by its view or from the server itself. A partitioned placer may not know that yet. Servers that only the
 // placer knows are used.
 func (p *Proxy) addressOf(id hingeids.ServerID, address string) string {
-	if p.view.Removed(id) || p.owner.Leaving(id) {
+	if p.view.Removed(id) || p.owner.Withholds(id) {
 		return ""
 	}
 	return address
--- a/internal/path/hingeproxy/stream.go
+++ b/internal/path/hingeproxy/stream.go
@@ -311,7 +311,11 @@
 	if err.Code == hingeverdict.CodeDeadline {
 		return
 	}
-	placed.stream.RecordOutcome(id, engineOutcome(err), notice)
+	outcome := engineOutcome(err)
+	if outcome == hingefleet.Full && notice.Backoff > 0 {
+		outcome = hingefleet.HostRefused
+	}
+	placed.stream.RecordOutcome(id, outcome, notice)
 }
 
 func engineOutcome(err *hingeverdict.Error) hingefleet.Outcome {
