--- a/cmd/swifthinge-soak/main.go
+++ b/cmd/swifthinge-soak/main.go
@@ -58,7 +58,7 @@
 			},
 			&cli.BoolFlag{
 				Name:  "needs",
-				Usage: "servers state in their answers that they are in need",
+				Usage: "servers state in their answers that they are in need: a rate limit, that they leave, a pause after a refusal",
 			},
 			&cli.DurationFlag{
 				Name:  "lasts",
--- a/internal/soak/hingesoak/checker.go
+++ b/internal/soak/hingesoak/checker.go
@@ -26,8 +26,9 @@
 type requestRecord struct {
 	atMostOnce bool
 	// entry is the index of the entry host that it was sent to.
-	entry int
-	runs  int
+	entry  int
+	sentAt time.Time
+	runs   int
 	// refused is set once the caller has received a refusal that says that the request
 	// wasn't run; the request must not run afterwards.
 	refused bool
@@ -107,6 +108,7 @@
 	c.requests[id] = &requestRecord{
 		atMostOnce: atMostOnce,
 		entry:      entry,
+		sentAt:     time.Now(),
 	}
 }
 
--- a/internal/soak/hingesoak/plan.go
+++ b/internal/soak/hingesoak/plan.go
@@ -46,6 +46,8 @@
 	switch f.kind {
 	case limit:
 		return fmt.Sprintf("server %d names a limit of %v/s for %v", f.index, f.limit, f.duration)
+	case leave, refuse:
+		return fmt.Sprintf("server %d: %s for %v", f.index, f.kind, f.duration)
 	case link:
 		return fmt.Sprintf("link of server %d: %s for %v", f.index, f.mode, f.duration)
 	}
@@ -84,7 +86,7 @@
 // inject starts a fault and returns; the fault ends after its duration.
 func (s *soak) inject(ctx context.Context, f fault) {
 	switch {
-	case f.kind == limit:
+	case f.kind == limit || f.kind == leave || f.kind == refuse:
 		s.servers[f.index].setNeed(f)
 	case f.kind == link:
 		s.servers[f.index].proxy.setMode(f.mode)
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 // serverKinds lists the stages of a run's stand-ins; an empty stage is a replica of the plain service.
@@ -39,8 +37,7 @@
 	// restarts is part of the server's name. While down is set, no heartbeats are sent.
 	restarts atomic.Uint64
 	down     atomic.Bool
-	// notice is what the server states in its answers.
-	notice atomic.Pointer[hingenotice.Notice]
+	need     atomic.Pointer[need]
 }
 
 // name returns the server's name, which changes with each restart.
@@ -71,7 +68,7 @@
 			stage:   stage,
 			checker: s.checker,
 		}
-		x.notice.Store(&hingenotice.Notice{})
+		x.need.Store(&need{})
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return eris.Wrap(err, "open stand-in listener")
@@ -138,6 +135,7 @@
 	case info.ID == "":
 		// Load queries and calls that free KV cache run no request.
 		w.WriteHeader(http.StatusOK)
+	case x.refuse(w, info.ID):
 	case strings.Contains(q.URL.Path, poisonMarker) && !info.Prefill:
 		x.crash(q.URL.Path)
 	case info.Prefill:
