serve: replicas that ask for a pause are left alone

The time is now kept with the refusal (CodeServerRefused), and a host doesn't choose the replica before it has passed; with all replicas in a pause callers are told when the first is over. The same parser and store as the fleet's (hingenotice). Engines of serve have no such header in their interface; nothing is read there.

TestRefusalCarriesItsRetryTime failed before (no time in the verdict); TestReplicaInPauseIsNotChosen is new.

--- a/internal/capacity/hingeplacer/notices.go
+++ b/internal/capacity/hingeplacer/notices.go
@@ -48,7 +48,7 @@
 	now := o.clock()
 	o.notices.mu.Lock()
 	defer o.notices.mu.Unlock()
-	return o.notices.known.Leaving(now, id) || o.notices.known.BackingOff(now, id)
+	return o.notices.known.Leaving(now, id) || now.Before(o.notices.known.BackoffUntil(id))
 }
 
 const (
--- a/internal/decide/hingenotice/known.go
+++ b/internal/decide/hingenotice/known.go
@@ -106,9 +106,9 @@
 	return Notice{}
 }
 
-// BackingOff reports whether a server wants no requests of this host now.
-func (k *Known) BackingOff(now time.Time, id hingeids.ServerID) bool {
-	return now.Before(k.backoffs[id].until)
+// BackoffUntil returns the time before which a server wants no requests of this host.
+func (k *Known) BackoffUntil(id hingeids.ServerID) time.Time {
+	return k.backoffs[id].until
 }
 
 // Backoffs returns the servers of a service that want no requests of this host now, at most the given number, how many
--- a/internal/path/hingeengine/control.go
+++ b/internal/path/hingeengine/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 )
 
 // controlTimeout is the idle timeout of control requests, such as cancels and lists
@@ -130,10 +131,24 @@
 			} `json:"error"`
 		}
 		if json.Unmarshal(x.resp.Body(), &parsed) == nil && parsed.Error.Ran != nil && !*parsed.Error.Ran {
-			return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeServerRefused, 0,
-				eris.Errorf("server %s refused the request without running it", t.Server))
+			return refusal(t, x.resp.Header.Peek("Retry-After"))
 		}
 	}
 	x.resp.CopyTo(resp)
 	return nil
 }
+
+// refusal returns the error of a request that a replica refused. Its RetryAfter is the time for which the replica wants
+// no requests of this host.
+func refusal(t Target, retryAfter []byte) error {
+	var values []string
+	if len(retryAfter) > 0 {
+		values = append(values, string(retryAfter))
+	}
+	backoff, err := hingenotice.ParseBackoff(values)
+	cause := eris.Errorf("server %s refused the request without running it", t.Server)
+	if err != nil {
+		cause = eris.Wrapf(err, "server %s refused the request without running it", t.Server)
+	}
+	return hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeServerRefused, backoff, cause)
+}
--- a/internal/path/hingeengine/faults_test.go
+++ b/internal/path/hingeengine/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -230,6 +231,27 @@
 	}
 }
 
+// Guards against a replica that refuses a call, asks for a pause and isn't heard.
+func TestRefusalCarriesItsRetryTime(t *testing.T) {
+	const body = `{"error":{"ran":false}}`
+	for header, want := range map[string]time.Duration{
+		"Retry-After: 2.5": 2500 * time.Millisecond,
+		"Retry-After: Tue": 0,
+		"X-Other: 3":       0,
+	} {
+		server := startFake(t, fmt.Sprintf("HTTP/1.1 503 X\r\nX-Request-Id: %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s",
+			ownID, header, len(body), body), false)
+		err := requestKinds[2].do(context.Background(), Target{
+			Server:  "s",
+			Address: server.listener.Addr().String(),
+		})
+		var v *hingeverdict.Error
+		if !errors.As(err, &v) || v.Verdict != hingeverdict.NotRun || v.RetryAfter != want {
+			t.Errorf("%s: got %v", header, err)
+		}
+	}
+}
+
 // A refused connection must have the verdict notRun. A cancellation while the server
 // processes the request must have the verdict mayHaveRun.
 func TestVerdictsOfFailedDialAndCancelledRequest(t *testing.T) {
--- a/internal/serve/hingeserver/replicas.go
+++ b/internal/serve/hingeserver/replicas.go
@@ -1,6 +1,7 @@
 package hingeserver
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
+	"github.com/swifthinge/swifthinge/internal/decide/hingenotice"
 	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 	"github.com/swifthinge/swifthinge/internal/path/hingeengine"
 )
@@ -94,11 +96,57 @@
 		eris.Errorf("no backend server for %s", what))
 }
 
+// backoffs are the replicas that have refused a request of this host and want none for a while.
+type backoffs struct {
+	mu    sync.Mutex
+	known hingenotice.Known
+}
+
+// record records the outcome of a request.
+func (b *backoffs) record(now time.Time, id hingeids.ServerID, err error) {
+	var v *hingeverdict.Error
+	if !errors.As(err, &v) || v.Code != hingeverdict.CodeServerRefused || v.RetryAfter == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known.RemoveExpired(now, func(hingeids.ServerID) bool {
+		return false
+	})
+	b.known.Update(now, now, hingenotice.Subject{
+		Server: id,
+	}, hingenotice.Notice{
+		Backoff: v.RetryAfter,
+	})
+}
+
+// accepting returns the replicas of a list that accept requests of this host, and for how long none does if there are
+// none.
+func (b *backoffs) accepting(now time.Time, list []hingeannounce.Server) (out []hingeannounce.Server, wait time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range list {
+		until := b.known.BackoffUntil(s.Server)
+		switch {
+		case !now.Before(until):
+			out = append(out, s)
+		case wait == 0 || until.Sub(now) < wait:
+			wait = until.Sub(now)
+		}
+	}
+	if len(out) > 0 {
+		wait = 0
+	}
+	return out, wait
+}
+
 // replicaPool chooses replicas of plain services by least load. It prefers those of its own
 // zone.
 type replicaPool struct {
-	server *Server
-	load   *inFlight
+	server   *Server
+	load     *inFlight
+	backoffs backoffs
+	now      func() time.Time
 }
 
 // listedServers returns the servers that the inventory lists: others may announce
@@ -114,16 +162,24 @@
 func (p *replicaPool) Choose(
 	service hingeids.Service, avoid map[hingeids.ServerID]bool,
 ) (hingeengine.Target, error) {
+	var wait time.Duration
 	for _, zone := range []hingeids.Zone{p.server.settings.Zone, ""} {
 		listedServers := p.server.listedServers(p.server.servers.Load().Replicas(zone, service))
-		if t, ok := p.load.leastLoaded(listedServers, avoid); ok {
+		var accepting []hingeannounce.Server
+		accepting, wait = p.backoffs.accepting(p.now(), listedServers)
+		if t, ok := p.load.leastLoaded(accepting, avoid); ok {
 			return t, nil
 		}
 	}
+	if wait > 0 {
+		return hingeengine.Target{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeServerRefused, wait,
+			eris.Errorf("all replicas of service %s have refused requests of this host for now", service))
+	}
 	return hingeengine.Target{}, noServerError("service " + string(service))
 }
 
 // RecordOutcome records that a call at the replica has finished.
-func (p *replicaPool) RecordOutcome(t hingeengine.Target, _ error) {
+func (p *replicaPool) RecordOutcome(t hingeengine.Target, err error) {
 	p.load.add(t.Server, -1)
+	p.backoffs.record(p.now(), t.Server, err)
 }
--- a/internal/serve/hingeserver/server.go
+++ b/internal/serve/hingeserver/server.go
@@ -270,6 +270,7 @@
 			ReplicaPool: &replicaPool{
 				server: s,
 				load:   newInFlight(),
+				now:    time.Now,
 			},
 			Ledger:         ledger,
 			PoisonDetector: s.poisonDetector,
