hingeplacer: connections of hosts that place alone stay within the limit of few replicas

Among few replicas these are many hosts (147 a replica at 899 hosts and 3 replicas), which the parts of the others leave no room for.

Change: where hosts would be left without a replica, all hosts use the replicas that rank first with an equal part of their connections, at least one, within four standard deviations of the number of hosts that rank a replica first. Other cases are as before. A way not taken: parts of the others made smaller by the expected number of hosts without any, which halves what is used.

--- a/internal/capacity/hingeplacer/local.go
+++ b/internal/capacity/hingeplacer/local.go
@@ -131,33 +131,77 @@
 
 // shareOfReplicas returns the replicas that one of a number of hosts uses. The slots are zero (unknown), since the host
 // doesn't see the requests of other hosts. A replica with fewer than minConnections for each host is used by some
-// hosts only. A host that would have none gets one connection to the replica that ranks first.
+// hosts only. If that leaves hosts without any replica, each host uses the ones that rank first, with fewer connections.
 func (s localShare) shareOfReplicas(all []hingebalance.Replica, hosts int) []hingebalance.Replica {
+	if limit := leastLimit(all); hostsWithout(limit, len(all), hosts) >= 1 {
+		return s.firstReplicas(all, limit, hosts)
+	}
 	var used []hingebalance.Replica
-	var first hingebalance.Replica
-	firstRank := uint64(math.MaxUint64)
 	for _, r := range all {
-		rank := s.rank(r.Server)
-		if rank <= firstRank {
-			first, firstRank = r, rank
-		}
-		if float64(rank) > shareOfHosts(r.MaxConnections, hosts)*math.MaxUint64 {
+		if float64(s.rank(r.Server)) > shareOfHosts(r.MaxConnections, hosts)*math.MaxUint64 {
 			continue
 		}
-		r.Slots = 0
-		if r.MaxConnections > 0 {
-			r.MaxConnections = max(r.MaxConnections/hosts, minConnections)
-		}
-		used = append(used, r)
+		used = append(used, limitedTo(r, max(r.MaxConnections/hosts, minConnections)))
 	}
-	if len(used) == 0 && len(all) > 0 {
-		first.Slots = 0
-		first.MaxConnections = 1
-		used = append(used, first)
+	if len(used) == 0 {
+		return s.firstReplicas(all, 1, hosts)
+	}
+	return used
+}
+
+// equalConnections returns how many connections this host may have if the given number of hosts share a replica, at
+// least one. The mean over all hosts is fractional: the next higher number is for a part of them.
+func (s localShare) equalConnections(limit int, hosts float64) int {
+	deviation := hostDeviations * math.Sqrt(hosts)
+	most := math.Ceil(float64(limit) / (hosts + deviation))
+	mean := max((float64(limit)-most*deviation)/hosts, most-1, 1)
+	whole, part := math.Modf(mean)
+	if float64(s.rank("")) < part*math.MaxUint64 {
+		whole++
+	}
+	return int(whole)
+}
+
+// firstReplicas returns the replicas that rank first at this host, with an equal part of their connections.
+func (s localShare) firstReplicas(all []hingebalance.Replica, limit, hosts int) []hingebalance.Replica {
+	ranked := slices.Clone(all)
+	slices.SortFunc(ranked, func(a, b hingebalance.Replica) int {
+		return cmp.Compare(s.rank(a.Server), s.rank(b.Server))
+	})
+	connections := s.equalConnections(limit, float64(hosts)/float64(max(len(all), 1)))
+	count := min(connections, len(ranked))
+	used := ranked[:count]
+	for i, r := range used {
+		used[i] = limitedTo(r, connections/count)
 	}
 	return used
 }
 
+// limitedTo returns a replica with this host's part of its connections, if it limits them.
+func limitedTo(r hingebalance.Replica, connections int) hingebalance.Replica {
+	r.Slots = 0
+	if r.MaxConnections > 0 {
+		r.MaxConnections = connections
+	}
+	return r
+}
+
+// leastLimit returns the lowest connection limit of the replicas, zero if none has one.
+func leastLimit(all []hingebalance.Replica) int {
+	least := 0
+	for _, r := range all {
+		if r.MaxConnections > 0 && (least == 0 || r.MaxConnections < least) {
+			least = r.MaxConnections
+		}
+	}
+	return least
+}
+
+// hostsWithout returns how many hosts are expected to have none of a number of replicas with a connection limit.
+func hostsWithout(limit, replicas, hosts int) float64 {
+	return float64(hosts) * math.Pow(1-shareOfHosts(limit, hosts), float64(replicas))
+}
+
 // hostDeviations is the margin, in standard deviations, for the number of hosts that use a replica of which each host's
 // part would be less than minConnections: each host decides for itself by a hash.
 const hostDeviations = 4
--- a/internal/capacity/hingeplacer/local_test.go
+++ b/internal/capacity/hingeplacer/local_test.go
@@ -29,6 +29,12 @@
 	checkConnections(t, 500, 3, 899)
 	checkConnections(t, 500, 3, 985)
 	checkConnections(t, 1800, 3, 5000)
+	for _, hosts := range []int{300, 376, 450, 600, 750, 1100, 1250} {
+		checkConnections(t, 500, 3, hosts)
+	}
+	for _, hosts := range []int{40, 74, 145, 200} {
+		checkConnections(t, 96, 3, hosts)
+	}
 }
 
 func checkConnections(t *testing.T, limit, replicas, hosts int) {
--- a/internal/capacity/hingeplacer/notices_test.go
+++ b/internal/capacity/hingeplacer/notices_test.go
@@ -11,8 +11,8 @@
 	"github.com/swifthinge/swifthinge/internal/decide/hingequeue"
 )
 
-// limitedTo is the notice of a replica that accepts two requests a second.
-var limitedTo = hingenotice.Notice{
+// twoPerSecond is the notice of a replica that accepts two requests a second.
+var twoPerSecond = hingenotice.Notice{
 	RateLimit: 2,
 }
 
@@ -40,7 +40,7 @@
 		if a.Server == "app-1" {
 			sent++
 			if cl.limited {
-				done.Notice = limitedTo
+				done.Notice = twoPerSecond
 			}
 		}
 		cl.owners[owner].CompleteCall("app", a, done)
@@ -78,7 +78,7 @@
 func TestHostWithoutPlacerKeepsTheRateLimits(t *testing.T) {
 	withCluster(t, func(t *testing.T, cl *cluster) {
 		cl.limited = true
-		cl.stateTo(0, limitedTo)
+		cl.stateTo(0, twoPerSecond)
 		time.Sleep(100 * time.Millisecond)
 		cl.network.Remove("control-1")
 		cl.network.Remove("control-2")
@@ -151,7 +151,7 @@
 			o.RecordNotice(hingenotice.Subject{
 				Service: "app",
 				Server:  hingeids.ServerID(fmt.Sprint("app-", i)),
-			}, limitedTo, time.Now())
+			}, twoPerSecond, time.Now())
 		}
 		time.Sleep(100 * time.Millisecond)
 		if list, _ := o.unreportedStatements("control-1"); len(list) != 0 {
