Read once more: a withheld request eases nothing, engines held back by turns

Found by reading the change. A request that a host didn't send was reported with what the host knew of the server, as if it were the answer to a request sent just now, and could raise a limit that another host had heard of later (TestWithheldRequestEasesNothing fails before: 10 requests in a second at a limit of one in two seconds). An engine held back is moved in the index by times compared exactly, also when the turn of a host that places alone has passed unused: two times within a few hundred nanoseconds compared as equal in floating point could be moved for ever. A changed limit no longer triggers a report of its own; the outcome of the request has it.

--- a/internal/capacity/hingeplacer/notices.go
+++ b/internal/capacity/hingeplacer/notices.go
@@ -29,7 +29,8 @@
 	o.notices.mu.Lock()
 	changed := o.notices.known.Update(o.clock(), sentAt, subject, n)
 	o.notices.mu.Unlock()
-	if changed {
+	if changed && n.Leaving {
+		// The placer learns of other statements with the outcome of the request, or with the next report.
 		o.triggerReport()
 	}
 	return changed
--- a/internal/capacity/hingeplacer/notices_test.go
+++ b/internal/capacity/hingeplacer/notices_test.go
@@ -153,7 +153,7 @@
 				Server:  hingeids.ServerID(fmt.Sprint("app-", i)),
 			}, twoPerSecond, time.Now())
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(2 * reportInterval)
 		if list, _ := o.unreportedStatements("control-1"); len(list) != 0 {
 			t.Errorf("%d statements are reported again", len(list))
 		}
--- a/internal/decide/hingebalance/balance.go
+++ b/internal/decide/hingebalance/balance.go
@@ -82,8 +82,8 @@
 type Outcome uint8
 
 // Answered means that the replica responded, with any status; Full that it refused for lack of
-// capacity; HostRefused that it refused and wants no requests of this host for a while; Failed that the response was missing or incomplete; ConnectFailed that no connection
-// was established; Replaced that another server has the address; Unknown that the outcome says
+// capacity; HostRefused that it refused and wants no requests of this host for a while; Failed that
+// the response was missing or incomplete; ConnectFailed that no connection was established; Replaced that another server has the address; Unknown that the outcome says
 // nothing about the replica, for example because the caller disconnected.
 const (
 	Answered Outcome = iota
--- a/internal/decide/hingefleet/index.go
+++ b/internal/decide/hingefleet/index.go
@@ -127,7 +127,11 @@
 func (f *Fleet) updateIndex(now time.Time) {
 	for {
 		first, found := f.index.ejected.Min()
-		if !found || float64(now.UnixNano()) < first.key {
+		if !found {
+			break
+		}
+		// The turn of an engine with a rate limit may have passed unused, and its next one is later.
+		if until := first.engine.unusableUntil(now); now.Before(until) && first.key == float64(until.UnixNano()) {
 			break
 		}
 		f.place(now, first.engine)
--- a/internal/decide/hingefleet/notice.go
+++ b/internal/decide/hingefleet/notice.go
@@ -49,7 +49,7 @@
 		return
 	}
 	sentAt := time.Time{}
-	if s := f.streams[r.Stream]; s != nil {
+	if s := f.streams[r.Stream]; s != nil && r.Outcome != NotSent {
 		sentAt = s.placedAt
 	}
 	f.recordNotice(now, sentAt, e.Server, r.Notice)
--- a/internal/decide/hingequeue/notice_test.go
+++ b/internal/decide/hingequeue/notice_test.go
@@ -263,3 +263,44 @@
 		}
 	}
 }
+
+// Guards against a limit that is raised by what a host knew long ago, when it reports a request that it hasn't sent.
+func TestWithheldRequestEasesNothing(t *testing.T) {
+	q := New(1)
+	now := time.Unix(1000, 0)
+	q.SetReplicas([]hingebalance.Replica{
+		{
+			Server: "app-0",
+		},
+	})
+	q.RecordNotice(now, "app-0", hingenotice.Notice{
+		RateLimit: 0.5,
+	})
+	now = now.Add(time.Second)
+	q.RecordCompletion(now, Completion{
+		ID:      "withheld",
+		Server:  "app-0",
+		Outcome: hingebalance.Unknown,
+		Notice: hingenotice.Notice{
+			RateLimit: 100,
+		},
+	})
+	placed := 0
+	for i := range 10 {
+		q.Enqueue(now, CallRequest{
+			ID:       CallID(fmt.Sprint(i)),
+			Deadline: now.Add(10 * time.Second),
+		})
+	}
+	for range 40 {
+		now = now.Add(25 * time.Millisecond)
+		for _, d := range q.Step(now) {
+			if !d.Refused {
+				placed++
+			}
+		}
+	}
+	if placed > 1 {
+		t.Errorf("%d requests in a second at a limit of one in two seconds", placed)
+	}
+}
--- a/internal/decide/hingequeue/queue.go
+++ b/internal/decide/hingequeue/queue.go
@@ -199,7 +199,12 @@
 		}
 	}
 	if n := completion.Notice; n != (hingenotice.Notice{}) || answered(completion.Outcome) {
-		q.balancer.RecordNotice(now, now.Add(-completion.Elapsed), completion.Server, n)
+		sentAt := now.Add(-completion.Elapsed)
+		if completion.Outcome == hingebalance.Unknown {
+			// The request may not have been sent, and the notice be an old one.
+			sentAt = time.Time{}
+		}
+		q.balancer.RecordNotice(now, sentAt, completion.Server, n)
 	}
 	if completion.Outcome != hingebalance.Unknown {
 		q.balancer.RecordOutcome(now, completion.Server, completion.Zone, completion.Outcome, completion.Elapsed)
