hingeplacer: pauses of servers that are gone don't count

Found by reading: a host refuses at once when as many servers of a service want no requests of it as the service has, and servers that have been replaced since counted too, for ten minutes at the most. Only servers that its view has as usable count now (TestPausesOfServersThatAreGoneDoNotCount).

--- a/internal/capacity/hingeplacer/notices.go
+++ b/internal/capacity/hingeplacer/notices.go
@@ -66,7 +66,7 @@
 func (o *Owner) backoffs(s hingeids.Service) (list []hingeids.ServerID, retryAfter time.Duration, refused bool) {
 	now := o.clock()
 	o.notices.mu.Lock()
-	list, count, first := o.notices.known.Backoffs(now, s, maxBackoffsSent)
+	list, count, first := o.notices.known.Backoffs(now, s, o.isUsable, maxBackoffsSent)
 	o.notices.mu.Unlock()
 	if count == 0 || count < o.view.ServerCount(s) {
 		return list, 0, false
@@ -75,6 +75,12 @@
 	return list, wait + time.Duration(rand.Float64()*backoffSpread*float64(wait)), true
 }
 
+// isUsable reports whether a server is usable according to this host's view.
+func (o *Owner) isUsable(id hingeids.ServerID) bool {
+	_, found := o.view.Address(id)
+	return found
+}
+
 func (s *noticeState) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,8 +97,7 @@
 	if !now.Before(s.sweepAt) {
 		s.sweepAt = now.Add(noticeSweepInterval)
 		s.known.RemoveExpired(now, func(id hingeids.ServerID) bool {
-			_, found := o.view.Address(id)
-			return !found
+			return !o.isUsable(id)
 		})
 	}
 	since := s.reported
--- a/internal/decide/hingenotice/known.go
+++ b/internal/decide/hingenotice/known.go
@@ -111,11 +111,13 @@
 	return k.backoffs[id].until
 }
 
-// Backoffs returns the servers of a service that want no requests of this host now, at most the given number, how many
-// they are in all, and when the first of them accepts requests again.
-func (k *Known) Backoffs(now time.Time, service hingeids.Service, most int) (list []hingeids.ServerID, count int, first time.Time) {
+// Backoffs returns the usable servers of a service that want no requests of this host now, at most the given number,
+// how many they are in all, and when the first of them accepts requests again.
+func (k *Known) Backoffs(
+	now time.Time, service hingeids.Service, usable func(hingeids.ServerID) bool, most int,
+) (list []hingeids.ServerID, count int, first time.Time) {
 	for id, b := range k.backoffs {
-		if b.service != service || !now.Before(b.until) {
+		if b.service != service || !now.Before(b.until) || !usable(id) {
 			continue
 		}
 		if count == 0 || b.until.Before(first) {
--- a/internal/decide/hingenotice/notice_test.go
+++ b/internal/decide/hingenotice/notice_test.go
@@ -194,3 +194,23 @@
 		t.Error("not eased by a later request")
 	}
 }
+
+// Guards against a service that counts as refusing all requests of a host because of servers that are gone.
+func TestPausesOfServersThatAreGoneDoNotCount(t *testing.T) {
+	var k Known
+	for _, id := range []hingeids.ServerID{"app-1", "app-2", "other-1"} {
+		k.Update(start, start, Subject{
+			Service: hingeids.Service(strings.Split(string(id), "-")[0]),
+			Server:  id,
+		}, Notice{
+			Backoff: time.Minute,
+		})
+	}
+	usable := func(id hingeids.ServerID) bool {
+		return id != "app-1"
+	}
+	list, count, first := k.Backoffs(start, "app", usable, 8)
+	if diff := cmp.Diff([]hingeids.ServerID{"app-2"}, list); diff != "" || count != 1 || !first.Equal(start.Add(time.Minute)) {
+		t.Errorf("%s, %d in all, the first until %v", diff, count, first)
+	}
+}
