serve: a status that shows a serving engine says that the host is ready

Traced: the status read the host's readiness first and the engines after it; the slots were granted in between. The engines are read first now. The run that showed it isn't repeatable at will; the order of the two reads is the cause by the output itself.

--- a/internal/serve/hingeserver/operators.go
+++ b/internal/serve/hingeserver/operators.go
@@ -223,6 +223,9 @@
 func (o operatorAPI) Status(now time.Time) hingeadmin.Status {
 	s := o.server
 	applied := s.shared.replicator.Applied().Load()
+	// A server that grants slots makes the host ready: read in the other order, the status of a start may show
+	// such a server beside a host that isn't ready because there is none.
+	servers := o.servers(now)
 	ready, reason := s.ready(now)
 	return hingeadmin.Status{
 		Host:        s.settings.Host,
@@ -236,7 +239,7 @@
 		Voting:      s.isVoter(),
 		Committed:   applied.View.Revision,
 		Hosts:       o.hosts(),
-		Servers:     o.servers(now),
+		Servers:     servers,
 	}
 }
 
