Known red: a disk lost after the catch-up time of a replaced control host leaves no quorum

Callers of the operator's API get 503 for each read and change from then on. A control host is gone for good, an empty one starts at another address 0.2 or 1 s later, and 4 s (catchUpS) after its start another disk is lost, which the settings declare as tolerated.

The test plays the group's own code without a network.

--- /dev/null
+++ b/internal/agreement/hingegroup/replace_test.go
@@ -0,0 +1,72 @@
+package hingegroup
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+)
+
+const (
+	// catchUpTime is the time after which the loss of a replaced host no longer counts: the next
+	// disk may be lost from then on.
+	catchUpTime = 4 * time.Second
+	// contactTime is the time within which the hosts serve again after the last fault.
+	contactTime = 3 * time.Second
+)
+
+// read returns the version that a read at a host returns.
+func (g *openGroup) read(at hingeids.HostID) (uint64, error) {
+	ctx, stop := context.WithTimeout(context.Background(), 900*time.Millisecond)
+	defer stop()
+	if _, err := g.hosts[at].group.Read(ctx); err != nil {
+		return 0, err
+	}
+	return uint64(g.hosts[at].machine.Documents().Load().Version), nil
+}
+
+// wipe restarts a host with an empty disk.
+func (g *openGroup) wipe(id hingeids.HostID) {
+	g.kill(id)
+	time.Sleep(time.Second)
+	g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+}
+
+// A replaced host's vote must have moved to its replacement within the catch-up time of the settings.
+// Otherwise the next lost disk, which is tolerated from then on, leaves no quorum and nobody can read.
+func TestDiskLostAfterCatchUpOfReplacementLeavesQuorum(t *testing.T) {
+	for _, replaced := range []string{"leader", "follower"} {
+		for _, wiped := range seeds {
+			for _, pause := range []time.Duration{200 * time.Millisecond, time.Second} {
+				t.Run(fmt.Sprint(replaced, " ", wiped, " ", pause), func(t *testing.T) {
+					withOpenGroup(t, func(t *testing.T, g *openGroup) {
+						g.mustChange("core-1", 1)
+						gone := g.hosts["core-1"].group.Leader()
+						if replaced == "follower" {
+							gone = seeds[0]
+							if gone == g.hosts["core-1"].group.Leader() {
+								gone = seeds[1]
+							}
+						}
+						if gone == wiped {
+							return
+						}
+						g.kill(gone)
+						time.Sleep(pause)
+						g.start("core-4", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+						time.Sleep(catchUpTime)
+						g.wipe(wiped)
+						time.Sleep(contactTime)
+						for id := range g.hosts {
+							if v, err := g.read(id); v != 1 || err != nil {
+								t.Errorf("read at %s: version %d, %v", id, v, err)
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
