hingelog: a vote is moved by joint consensus, so that a loss meanwhile leaves a quorum

Callers of the operator's API: 503 for each read and change, for good, after a disk was lost while another host's vote was on its way to a standby.

Cause: a vote moved in two changes, remove the old voter, then promote the standby. A member acts by the newest list in its log, committed or not. From the first change on the leader needed two of two voters; if the other one's disk was lost then, also before the removal was committed, only one disk was left that the list names. The voter that had been cut off came back with its disk, but the others' logs no longer counted it, and its own log was too old to be elected. One disk was lost, which is tolerated; a cut beside it may suspend the service, not end it.

Evidence: TestDiskLostAtAnyMomentOfAReplacement on: no leader ever again if the disk is lost 800 to 920 ms after the cut, with votes that move after 1 s of silence.

Change: Replace enters a joint configuration: quorums for elections, leases and commits need a majority of the voters before and one of the voters after it. The next entry leaves it; any leader appends it. The same is used for the lost disk of a host, where the group had two voters in between. The replaced voter stays as a learner, so that a host that returns gets all entries at once and needn't ask to join.

Two ways: promoting first, removing then (four voters, three needed) was weighed: the loss of the new host alone, within what is tolerated while the old one is gone for good, would then leave two of four.

Drawn schedules with a spare host: red on at once, 3000 pass now. A schedule of 3000 failed at first because the test itself allowed two disks to be lost 0.2 s apart, the spare's and a voter's; it now waits, as without a spare, until all hosts' current disks are members.

--- a/internal/agreement/hingegroup/apply.go
+++ b/internal/agreement/hingegroup/apply.go
@@ -28,16 +28,7 @@
 	case hingelog.Data:
 		result = m.group.machine.Apply(uint64(e.Index), e.Data)
 	case hingelog.MembersChange:
-		kind, affected := hingelog.MembersEvent(m.members, *e.Members)
-		m.members = *e.Members
-		m.recordEvents([]hingelog.Event{
-			{
-				Kind:   kind,
-				Term:   e.Term,
-				Member: affected,
-				Index:  e.Index,
-			},
-		})
+		m.recordMembersChange(e)
 	}
 	w, found := m.waiters[e.Index]
 	if !found {
@@ -56,6 +47,16 @@
 	}
 }
 
+func (m *member) recordMembersChange(e hingelog.Entry) {
+	events := hingelog.MembersEvents(m.members, *e.Members)
+	for i := range events {
+		events[i].Term = e.Term
+		events[i].Index = e.Index
+	}
+	m.members = *e.Members
+	m.recordEvents(events)
+}
+
 // compact writes a snapshot every CompactAfter entries. This limits the size of journal
 // and memory, and the time to read the journal at a start.
 func (m *member) compact() error {
--- a/internal/agreement/hingelog/checkin.go
+++ b/internal/agreement/hingelog/checkin.go
@@ -23,7 +23,7 @@
 // outdated: an entry that it lacks may have promoted a member that is needed to elect
 // the leader that sends the entry.
 func (l *Log) countCheckIns() {
-	if len(l.currentMembers().Voters) > 0 && len(l.checkInPassed) >= l.currentMembers().Quorum() {
+	if voters := l.currentMembers().Voters; len(voters) > 0 && len(l.checkInPassed) >= majority(voters) {
 		l.checkedIn = true
 		l.checkInPeers = nil
 	}
--- a/internal/agreement/hingelog/cluster_test.go
+++ b/internal/agreement/hingelog/cluster_test.go
@@ -47,7 +47,11 @@
 	commit           Index
 	members          Members
 	// membersIndex is the index of the newest committed membership change.
-	membersIndex        Index
+	membersIndex Index
+	// voters and silence are the number of voters to keep and the silence after which one is replaced;
+	// zero voters means that all members vote.
+	voters              int
+	silence             time.Duration
 	lastIncarnation     uint64
 	violation           string
 	proposed            int
@@ -116,6 +120,8 @@
 		ElectionTimeout:   DefaultElectionTimeout,
 		HeartbeatInterval: DefaultHeartbeatInterval,
 		Seed:              c.lastIncarnation ^ c.random.Uint64(),
+		Voters:            c.voters,
+		SilenceTimeout:    c.silence,
 	}, DurableState{
 		HardState:    n.disk.HardState,
 		Snapshot:     n.disk.Snapshot,
@@ -256,12 +262,10 @@
 		c.membersIndex = e.Index
 		c.members = *e.Members
 	}
-	kind, member := MembersEvent(n.appliedMembers, *e.Members)
-	c.events = append(c.events, Event{
-		Kind:   kind,
-		Member: member,
-		Index:  e.Index,
-	})
+	for _, x := range MembersEvents(n.appliedMembers, *e.Members) {
+		x.Index = e.Index
+		c.events = append(c.events, x)
+	}
 	n.appliedMembers = *e.Members
 }
 
@@ -427,8 +431,8 @@
 	}
 }
 
-// The cluster is repaired once the current disks of all hosts are voters, so that one
-// may be lost.
+// The cluster is repaired once the current disks of all hosts are members, and as many as are to vote are
+// voters, so that one may be lost.
 func (c *cluster) fullyRepaired() bool {
 	for _, m := range c.members.Voters {
 		n := c.host(m.Host)
@@ -437,9 +441,12 @@
 		}
 	}
 	for _, n := range c.nodes {
-		if !c.members.HasVoter(n.self) {
+		if !c.members.Has(n.self) || c.voters == 0 && !c.members.HasVoter(n.self) {
 			return false
 		}
 	}
+	if c.voters > 0 {
+		return len(c.members.Voters) == c.voters && !c.members.IsReplacing()
+	}
 	return len(c.members.Voters) >= 3
 }
--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -30,14 +30,17 @@
 //  8. A leader commits what a quorum holds durably. It counts only entries of its own
 //     term; earlier ones are committed along with them.
 //  9. A follower whose next entry has been compacted receives one snapshot.
-//  10. A membership change adds a learner, promotes one or removes a member. Changes
-//     are made one at a time: the next waits until the previous one is committed and
-//     until the leader has committed an entry of its term. Quorums before and after a
-//     change always overlap.
+//  10. A membership change adds a learner, promotes one, removes a member or replaces a
+//     voter by a learner. Changes are made one at a time: the next waits until the
+//     previous one is committed and until the leader has committed an entry of its
+//     term. Quorums before and after a change always overlap. A replacement takes two
+//     entries: from the first on, a quorum needs a majority of the voters before and a
+//     majority of those after the replacement (Raft's joint consensus); the second,
+//     which any leader appends once the first is committed, leaves only the latter.
 //  11. A learner counts toward no quorum until it has durably confirmed all committed
 //     entries and has answered the leader within an election time. Then the leader
-//     removes the lost incarnation of its host and promotes the learner. Only the
-//     Promoted event means that a repair is complete.
+//     replaces the lost incarnation of its host by the learner. Only the Promoted event
+//     means that a repair is complete.
 //  12. After a start a member asks the others which term and entries they know it
 //     held. It neither votes nor confirms entries until a quorum (itself counted) has
 //     answered. If a member knows of a later term or of a committed entry beyond the
@@ -48,8 +51,8 @@
 //     learner that holds all committed entries is promoted while there are fewer
 //     voters than that. Otherwise it replaces a voter that hasn't answered the leader
 //     for a while: a host that was replaced at another address never returns, and
-//     while it remains a voter the next loss would leave no quorum. A voter is
-//     removed only for a learner that is ready to replace it. A learner that doesn't
+//     while it remains a voter the next loss would leave no quorum. The replaced voter
+//     becomes a learner, in case that it returns. A learner that doesn't
 //     answer for long is removed; if it was removed wrongly, it requests to join
 //     again.
 package hingelog
--- a/internal/agreement/hingelog/election.go
+++ b/internal/agreement/hingelog/election.go
@@ -80,13 +80,9 @@
 }
 
 func (l *Log) countVotes(now time.Time) {
-	granted := 0
-	for _, m := range l.currentMembers().Voters {
-		if l.votes[m] {
-			granted++
-		}
-	}
-	if granted < l.currentMembers().Quorum() {
+	if !l.currentMembers().HasQuorum(func(m Member) bool {
+		return l.votes[m]
+	}) {
 		return
 	}
 	switch l.role {
--- a/internal/agreement/hingelog/lease.go
+++ b/internal/agreement/hingelog/lease.go
@@ -8,8 +8,18 @@
 // quorumSendTime returns the newest send time that a quorum has answered, or the zero
 // time if there is none. The leader counts itself with the current time.
 func (l *Log) quorumSendTime(now time.Time) time.Time {
+	var oldest time.Time
+	for i, voters := range l.currentMembers().voterSets() {
+		if t := l.majoritySendTime(now, voters); i == 0 || t.Before(oldest) {
+			oldest = t
+		}
+	}
+	return oldest
+}
+
+func (l *Log) majoritySendTime(now time.Time, voters []Member) time.Time {
 	times := make([]time.Time, 0, 8)
-	for _, m := range l.currentMembers().Voters {
+	for _, m := range voters {
 		switch p := l.progress[m]; {
 		case m == l.settings.Self:
 			times = append(times, now)
@@ -25,7 +35,7 @@
 	slices.SortFunc(times, func(a, b time.Time) int {
 		return b.Compare(a)
 	})
-	return times[l.currentMembers().Quorum()-1]
+	return times[majority(voters)-1]
 }
 
 func (l *Log) leaseEnd(now time.Time) time.Time {
--- a/internal/agreement/hingelog/members.go
+++ b/internal/agreement/hingelog/members.go
@@ -15,6 +15,10 @@
 	AddLearner ChangeKind = iota + 1
 	Promote
 	Remove
+	// Replace gives the vote of Change.Replaced to the learner Change.Member.
+	Replace
+	// completeReplacement makes the outgoing voters learners.
+	completeReplacement
 )
 
 // lostLearnerFactor times the silence of rule 13 is the time without answers after
@@ -26,6 +30,8 @@
 type Change struct {
 	Kind   ChangeKind `cbor:"1,keyasint"`
 	Member Member     `cbor:"2,keyasint"`
+	// Replaced is the voter that Member replaces; set only for Replace.
+	Replaced Member `cbor:"3,keyasint,omitzero"`
 }
 
 // Errors of rejected membership changes. A rejected change adds nothing to the log.
@@ -79,7 +85,8 @@
 	if !l.MayLead(now) {
 		return ErrNotLeader
 	}
-	if l.members[len(l.members)-1].index > l.commit {
+	uncommitted := l.members[len(l.members)-1].index > l.commit
+	if uncommitted || l.currentMembers().IsReplacing() != (c.Kind == completeReplacement) {
 		return ErrChangePending
 	}
 	next, err := l.membersAfterChange(c)
@@ -115,6 +122,10 @@
 		return &next, nil
 	case Promote:
 		return l.membersAfterPromotion(next, c.Member)
+	case Replace:
+		return l.membersAfterReplacement(next, c)
+	case completeReplacement:
+		return membersAfterCompletion(next, m.Outgoing), nil
 	default:
 		return membersAfterRemoval(next, c.Member)
 	}
@@ -136,6 +147,37 @@
 	return &next, nil
 }
 
+// membersAfterReplacement implements rule 10. Removing the old voter before the new one is promoted, or
+// after it, would leave the group for that moment with one loss less that it survives.
+func (l *Log) membersAfterReplacement(next Members, c Change) (*Members, error) {
+	i := slices.Index(next.Voters, c.Replaced)
+	if i < 0 || next.HasVoter(c.Member) || !next.Has(c.Member) {
+		return nil, ErrUnknownMember
+	}
+	// Rule 11.
+	if l.progressOf(c.Member).match < l.commit {
+		return nil, ErrLearnerNotCaughtUp
+	}
+	next.Outgoing = slices.Clone(next.Voters)
+	next.Learners = without(next.Learners, c.Member)
+	next.Voters[i] = c.Member
+	return &next, nil
+}
+
+// membersAfterCompletion makes the outgoing voters learners, so that a host that returns with its disk
+// receives all entries again. A lost incarnation is removed.
+func membersAfterCompletion(next Members, outgoing []Member) *Members {
+	for _, x := range outgoing {
+		sameHost := slices.ContainsFunc(next.All(), func(m Member) bool {
+			return m.Host == x.Host
+		})
+		if !sameHost {
+			next.Learners = append(next.Learners, x)
+		}
+	}
+	return &next
+}
+
 func membersAfterRemoval(next Members, x Member) (*Members, error) {
 	if !next.Has(x) {
 		return nil, nil
@@ -161,47 +203,62 @@
 	}
 }
 
-// MembersEvent returns the event for the change between two consecutive sets of
-// members, 0 if they are equal.
-func MembersEvent(old, next Members) (EventKind, Member) {
-	for _, m := range next.Voters {
-		if !old.HasVoter(m) {
-			return Promoted, m
-		}
+// MembersEvents returns the kinds and members of the events for the change between two consecutive sets
+// of members. A replacement is reported when it is complete.
+func MembersEvents(old, next Members) []Event {
+	if next.IsReplacing() {
+		return nil
 	}
-	for _, m := range next.Learners {
-		if !old.Has(m) {
-			return LearnerAdded, m
-		}
+	if old.IsReplacing() {
+		old.Voters = old.Outgoing
 	}
-	for _, m := range old.All() {
-		if !next.Has(m) {
-			return Removed, m
+	var out []Event
+	add := func(k EventKind, members []Member, known []Member) {
+		for _, m := range members {
+			if !slices.Contains(known, m) {
+				out = append(out, Event{
+					Kind:   k,
+					Member: m,
+				})
+			}
 		}
 	}
-	return 0, Member{}
+	add(Promoted, next.Voters, old.Voters)
+	add(LearnerAdded, next.Learners, old.Learners)
+	add(Removed, old.All(), next.All())
+	return out
 }
 
 // repair implements rules 11 and 13.
 func (l *Log) repair(now time.Time) {
-	if len(l.currentMembers().Learners) == 0 || !l.MayLead(now) {
+	m := l.currentMembers()
+	if !m.IsReplacing() && len(m.Learners) == 0 || !l.MayLead(now) {
 		return
 	}
-	if x, ok := l.lostLearner(now); ok {
+	if c, needed := l.nextRepair(now); needed {
 		// The next tick retries if another change is pending.
-		_ = l.ChangeMembers(now, Change{
+		_ = l.ChangeMembers(now, c)
+	}
+}
+
+func (l *Log) nextRepair(now time.Time) (Change, bool) {
+	if l.currentMembers().IsReplacing() {
+		return Change{
+			Kind: completeReplacement,
+		}, true
+	}
+	if x, ok := l.lostLearner(now); ok {
+		return Change{
 			Kind:   Remove,
 			Member: x,
-		})
-		return
+		}, true
 	}
 	for _, x := range l.currentMembers().Learners {
 		if c, needed := l.repairStep(now, x); needed {
-			// The next tick retries if another change is pending.
-			_ = l.ChangeMembers(now, c)
-			return
+			return c, true
 		}
 	}
+	return Change{}, false
 }
 
 func (l *Log) repairStep(now time.Time, x Member) (Change, bool) {
@@ -213,22 +270,32 @@
 			}, true
 		}
 	}
-	p := l.progressOf(x)
-	if p.match < l.commit || now.Sub(p.ackedSendTime) > l.settings.ElectionTimeout {
+	if !l.isReady(now, x) {
 		return Change{}, false
 	}
 	for _, m := range l.currentMembers().Voters {
 		if m.Host == x.Host {
 			// Two voting incarnations would give the host two votes.
-			return Change{
-				Kind:   Remove,
-				Member: m,
-			}, true
+			return replacement(m, x), true
 		}
 	}
 	return l.promoteOrReplaceVoter(now, x)
 }
 
+// isReady reports whether a learner may get a vote (rule 11).
+func (l *Log) isReady(now time.Time, x Member) bool {
+	p := l.progressOf(x)
+	return p.match >= l.commit && now.Sub(p.ackedSendTime) <= l.settings.ElectionTimeout
+}
+
+func replacement(voter, learner Member) Change {
+	return Change{
+		Kind:     Replace,
+		Member:   learner,
+		Replaced: voter,
+	}
+}
+
 // promoteOrReplaceVoter implements rule 13.
 func (l *Log) promoteOrReplaceVoter(now time.Time, x Member) (Change, bool) {
 	if l.settings.Voters == 0 || len(l.currentMembers().Voters) < l.settings.Voters {
@@ -239,10 +306,7 @@
 	}
 	for _, m := range l.currentMembers().Voters {
 		if m != l.settings.Self && l.unansweredFor(now, m) > l.settings.SilenceTimeout {
-			return Change{
-				Kind:   Remove,
-				Member: m,
-			}, true
+			return replacement(m, x), true
 		}
 	}
 	return Change{}, false
--- /dev/null
+++ b/internal/agreement/hingelog/replace_test.go
@@ -0,0 +1,54 @@
+package hingelog
+
+import (
+	"testing"
+	"time"
+)
+
+const testSilence = time.Second
+
+// newClusterWithSpare returns a cluster of three voters and a learner d, which replaces a voter that is
+// silent.
+func newClusterWithSpare(seed uint64) *cluster {
+	c := newCluster(seed, "a", "b", "c")
+	c.voters = 3
+	c.silence = testSilence
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	c.start(c.addNode(Member{
+		Host: "d",
+		Disk: 1,
+	}))
+	c.run(3 * time.Second)
+	c.join()
+	c.run(time.Second)
+	return c
+}
+
+// While a voter that is cut off is replaced, another voter's disk is lost. The returning voter still has its
+// disk, so the group must serve again; if the vote had been removed before its replacement was in force,
+// the two disks that are left would never be a quorum.
+func TestDiskLostAtAnyMomentOfAReplacement(t *testing.T) {
+	for after := testSilence - 200*time.Millisecond; after < testSilence+600*time.Millisecond; after += simStep {
+		c := newClusterWithSpare(uint64(after))
+		l := c.activeLeader()
+		cut, lost := c.nodes[0], c.nodes[1]
+		if cut == l {
+			cut = c.nodes[2]
+		}
+		if lost == l {
+			lost = c.nodes[2]
+		}
+		c.propose(l, "kept")
+		c.run(200 * time.Millisecond)
+		c.cutOff(cut)
+		c.run(after)
+		c.loseDisk(lost)
+		c.run(2 * time.Second)
+		c.recoverAndCheck()
+		if c.violation != "" {
+			t.Errorf("disk lost %v after the cut: %s", after, c.violation)
+		}
+	}
+}
--- a/internal/agreement/hingelog/replicate.go
+++ b/internal/agreement/hingelog/replicate.go
@@ -283,21 +283,36 @@
 	}
 }
 
-// advanceCommit implements rule 8.
-func (l *Log) advanceCommit(now time.Time) {
+// quorumMatch returns the newest index that a quorum holds durably.
+func (l *Log) quorumMatch() Index {
+	var lowest Index
+	for i, voters := range l.currentMembers().voterSets() {
+		if match := l.majorityMatch(voters); i == 0 || match < lowest {
+			lowest = match
+		}
+	}
+	return lowest
+}
+
+func (l *Log) majorityMatch(voters []Member) Index {
+	if len(voters) == 0 {
+		return 0
+	}
 	var matched []Index
-	for _, m := range l.currentMembers().Voters {
+	for _, m := range voters {
 		if m == l.settings.Self {
 			matched = append(matched, l.synced)
 			continue
 		}
 		matched = append(matched, l.progressOf(m).match)
 	}
-	if len(matched) == 0 {
-		return
-	}
 	slices.Sort(matched)
-	i := matched[len(matched)-l.currentMembers().Quorum()]
+	return matched[len(matched)-majority(voters)]
+}
+
+// advanceCommit implements rule 8.
+func (l *Log) advanceCommit(now time.Time) {
+	i := l.quorumMatch()
 	if t, known := l.termAt(i); !known || i <= l.commit || t != l.hardState.Term {
 		return
 	}
--- a/internal/agreement/hingelog/schedules_test.go
+++ b/internal/agreement/hingelog/schedules_test.go
@@ -209,6 +209,9 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(rapid.Uint64().Draw(t, "seed"), "a", "b", "c")
+		if rapid.Bool().Draw(t, "spare") {
+			c = newClusterWithSpare(rapid.Uint64().Draw(t, "seed of the spare"))
+		}
 		c.run(2 * time.Second)
 		for _, a := range rapid.SliceOfN(actions(), 20, 80).Draw(t, "actions") {
 			c.do(a)
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -28,16 +28,47 @@
 type Members struct {
 	Voters   []Member `cbor:"1,keyasint" json:"voters"`
 	Learners []Member `cbor:"2,keyasint,omitempty" json:"learners,omitempty"`
+	// Outgoing are the voters before a replacement that isn't complete (rule 10). A quorum
+	// needs a majority of them as well.
+	Outgoing []Member `cbor:"3,keyasint,omitempty" json:"outgoing,omitempty"`
 }
 
-// Quorum returns the number of voters that form a majority.
-func (m Members) Quorum() int {
-	return len(m.Voters)/2 + 1
+// IsReplacing reports whether a replacement isn't complete.
+func (m Members) IsReplacing() bool {
+	return len(m.Outgoing) > 0
+}
+
+// voterSets returns the sets of voters of which a quorum needs a majority each.
+func (m Members) voterSets() [][]Member {
+	if m.IsReplacing() {
+		return [][]Member{m.Voters, m.Outgoing}
+	}
+	return [][]Member{m.Voters}
+}
+
+func majority(voters []Member) int {
+	return len(voters)/2 + 1
+}
+
+// HasQuorum reports whether the members for which has returns true form a quorum.
+func (m Members) HasQuorum(has func(Member) bool) bool {
+	for _, voters := range m.voterSets() {
+		count := 0
+		for _, v := range voters {
+			if has(v) {
+				count++
+			}
+		}
+		if count < majority(voters) {
+			return false
+		}
+	}
+	return true
 }
 
 // HasVoter reports whether the member is a voter.
 func (m Members) HasVoter(x Member) bool {
-	return slices.Contains(m.Voters, x)
+	return slices.Contains(m.Voters, x) || slices.Contains(m.Outgoing, x)
 }
 
 // Has reports whether the member is a voter or a learner.
@@ -45,9 +76,15 @@
 	return m.HasVoter(x) || slices.Contains(m.Learners, x)
 }
 
-// All returns the voters, followed by the learners.
+// All returns the voters, followed by the learners and the voters that are being replaced.
 func (m Members) All() []Member {
-	return slices.Concat(m.Voters, m.Learners)
+	all := slices.Concat(m.Voters, m.Learners)
+	for _, x := range m.Outgoing {
+		if !slices.Contains(all, x) {
+			all = append(all, x)
+		}
+	}
+	return all
 }
 
 // EntryKind is the kind of a log entry.
--- a/internal/observe/hingeevents/log.go
+++ b/internal/observe/hingeevents/log.go
@@ -48,7 +48,7 @@
 		Number:      LearnerAdded,
 		Name:        "learnerAdded",
 		Severity:    Info,
-		Description: "A host with a new disk participates as a learner, without a vote, until it has everything that is committed.",
+		Description: "A host participates as a learner, without a vote: its disk is new, or its vote was given to another host.",
 	},
 	{
 		Number:      MemberPromoted,
