A read of the configuration that fails says why; events, metrics and OPERATIONS for a configuration that can't be read

No decision changes. hingegroup.Unavailable tells no leader known, leader unreachable, leader without lease, copy behind (by how much) and a stopped part, with who was asked and since when. A control host that suspects a fault (no leader, no lease, copy behind, or an operator's read that failed) reads twice a second itself and records configUnreadable (216) after a second, then every five, and configReadable (217) at the end; without a suspicion it sends nothing. The line has the members, which answer, which seats are empty, and what mends it: hosts are known by the messages and join requests that arrive, at most 64 of them. Failed reads are counted by reason, and recorded by configReadFailed (215) at most once in five seconds.

--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -88,7 +88,9 @@
 	Applied hingelog.Index
 	// LeaseUntil is the end of the leader lease; zero unless this host leads.
 	LeaseUntil time.Time
-	Journal    hingejournal.Totals
+	// LeaderSince is since when Leader is what it is, also for no leader.
+	LeaderSince time.Time
+	Journal     hingejournal.Totals
 }
 
 // Group is one host's part in a group. On a host without a disk it only forwards
@@ -102,6 +104,8 @@
 	status     hingeboard.Cell[Status]
 	hint       hingeboard.Cell[leaderHint]
 	senders    *senders
+	peers      peers
+	failures   failures
 	extraHosts hingeboard.Cell[[]hingeids.HostID]
 	done       chan struct{}
 }
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -265,9 +265,13 @@
 
 func (m *member) publish(now time.Time) {
 	s := Status{
-		Status:  m.log.Status(),
-		Applied: m.applied,
-		Journal: m.journal.Totals(),
+		Status:      m.log.Status(),
+		Applied:     m.applied,
+		LeaderSince: now,
+		Journal:     m.journal.Totals(),
+	}
+	if last := m.group.Status(); last.Leader == s.Leader && !last.LeaderSince.IsZero() {
+		s.LeaderSince = last.LeaderSince
 	}
 	if m.log.MayLead(now) {
 		s.LeaseUntil = m.log.LeaseEnd(now)
--- a/internal/agreement/hingegroup/propose.go
+++ b/internal/agreement/hingegroup/propose.go
@@ -36,7 +36,10 @@
 // Propose replicates data and returns the result of applying it. It blocks until the
 // entry is committed. The error carries a verdict (rule 5).
 func (g *Group) Propose(ctx context.Context, data []byte) ([]byte, error) {
-	o, err := g.requestLeader(ctx, "propose", data)
+	o, _, err := g.requestLeader(ctx, "propose", data)
+	if err == nil {
+		g.failures.clear()
+	}
 	return o.Result, err
 }
 
@@ -44,25 +47,46 @@
 // before the call, and returns that index (rule 6). On a host without a disk it only
 // returns the index. The error carries a verdict.
 func (g *Group) Read(ctx context.Context) (uint64, error) {
-	o, err := g.requestLeader(ctx, "read", nil)
+	o, asked, err := g.requestLeader(ctx, "read", nil)
 	if err != nil || g.member == nil {
 		return uint64(o.Index), err
 	}
 	for {
 		changed := g.status.Changed()
 		if g.status.Load().Applied >= o.Index {
+			g.failures.clear()
 			return uint64(o.Index), nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return 0, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNotReady, g.retryAfter(), ctx.Err())
+			return 0, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNotReady, g.retryAfter(), g.unavailable(Unavailable{
+				Reason:  CopyBehind,
+				Leader:  asked[len(asked)-1],
+				Asked:   asked,
+				Applied: g.status.Load().Applied,
+				Needed:  o.Index,
+				Cause:   ctx.Err(),
+			}))
 		case <-g.done:
-			return 0, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeShuttingDown, g.retryAfter(), nil)
+			return 0, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeShuttingDown, g.retryAfter(), g.unavailable(Unavailable{
+				Reason: Stopping,
+			}))
 		}
 	}
 }
 
+// unavailable completes a failure with the group and its duration.
+func (g *Group) unavailable(u Unavailable) *Unavailable {
+	now := g.settings.Clock()
+	u.Group = g.settings.Name
+	u.For = g.failures.add(now, u.Reason)
+	if s := g.Status(); u.Reason == NoLeader && s.Leader.IsZero() && !s.LeaderSince.IsZero() {
+		u.For = now.Sub(s.LeaderSince)
+	}
+	return &u
+}
+
 // retryAfter is the time within which a new leader is usually elected.
 func (g *Group) retryAfter() time.Duration {
 	return 2 * g.settings.ElectionTimeout
@@ -73,23 +97,39 @@
 const maxLeaderAttempts = 4
 
 // requestLeader sends a proposal or a read to the leader, or the next one if it was
-// refused. It never resends what may have run.
-func (g *Group) requestLeader(ctx context.Context, operation string, body []byte) (outcome, error) {
+// refused, and returns also the hosts that were asked. It never resends what may have run.
+func (g *Group) requestLeader(ctx context.Context, operation string, body []byte) (outcome, []hingeids.HostID, error) {
+	var asked []hingeids.HostID
+	last := Unavailable{
+		Reason: NoLeader,
+	}
 	for range maxLeaderAttempts {
 		leader := g.findLeader(ctx)
 		if leader == "" {
+			last.Reason = NoLeader
 			break
 		}
+		asked = append(asked, leader)
 		o, err := g.callLeader(ctx, leader, operation, body)
+		last = Unavailable{
+			Reason: LeaderWithoutLease,
+			Leader: leader,
+			Asked:  asked,
+			Cause:  err,
+		}
 		switch {
-		case err != nil && hingeverdict.Of(err) != hingeverdict.NotRun:
-			return outcome{}, err
+		case err != nil:
+			last.Reason = LeaderUnreachable
+			if hingeverdict.Of(err) != hingeverdict.NotRun {
+				return outcome{}, asked, withCause(err, g.unavailable(last))
+			}
 		case o.Uncertain:
-			return outcome{}, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeNoQuorum, g.retryAfter(),
-				eris.Errorf("host %s stopped leading group %s before it answered", leader, g.settings.Name))
-		case err == nil && !o.Refused:
+			last.Reason = LeaderUnreachable
+			last.Cause = eris.Errorf("host %s stopped leading group %s before it answered", leader, g.settings.Name)
+			return outcome{}, asked, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeNoQuorum, g.retryAfter(), g.unavailable(last))
+		case !o.Refused:
 			g.setLeaderHint(leader)
-			return o, nil
+			return o, asked, nil
 		}
 		g.setLeaderHint(o.Leader)
 		if g.member != nil && (o.Leader == "" || o.Leader == leader) {
@@ -98,8 +138,27 @@
 			break
 		}
 	}
-	return outcome{}, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoQuorum, g.retryAfter(),
-		eris.Errorf("group %s has no reachable leader", g.settings.Name))
+	if g.stopped() {
+		last.Reason = Stopping
+	}
+	return outcome{}, asked, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoQuorum, g.retryAfter(), g.unavailable(last))
+}
+
+func (g *Group) stopped() bool {
+	select {
+	case <-g.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// withCause returns the verdict of an error with another cause.
+func withCause(err, cause error) error {
+	if e := (*hingeverdict.Error)(nil); errors.As(err, &e) {
+		return hingeverdict.New(e.Verdict, e.Code, e.RetryAfter, cause)
+	}
+	return hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeLinkDown, 0, cause)
 }
 
 // The hint is used on a host without a disk.
--- a/internal/observe/hingeevents/log.go
+++ b/internal/observe/hingeevents/log.go
@@ -17,6 +17,10 @@
 	SpreadingCutOff    Number = 212
 	SpreadingMended    Number = 213
 	OldRevisionRefused Number = 214
+	// ConfigReadFailed and ConfigUnreadable are recorded at most once every five seconds.
+	ConfigReadFailed Number = 215
+	ConfigUnreadable Number = 216
+	ConfigReadable   Number = 217
 )
 
 var logEntries = []Entry{
@@ -113,4 +117,23 @@
 		Severity:    Warning,
 		Description: "A host offered an older configuration than the one in force in this process; it was refused.",
 	},
+	{
+		Number:      ConfigReadFailed,
+		Name:        "configReadFailed",
+		Severity:    Warning,
+		Description: "This control host answered an operator's reads of the configuration with status 503; count is their number since the last such event, detail has the reason of the last.",
+	},
+	{
+		Number:      ConfigUnreadable,
+		Name:        "configUnreadable",
+		Severity:    Warning,
+		Description: "The configuration has not been readable at this control host for over a second; took is for how long, host the leader that it knows, and detail the reason, the members, which of them answer and what mends it.",
+		Action:      "See \"The configuration can't be read\" in OPERATIONS.md.",
+	},
+	{
+		Number:      ConfigReadable,
+		Name:        "configReadable",
+		Severity:    Info,
+		Description: "The configuration can be read at this control host again; took is how long it could not, host the leader.",
+	},
 }
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -102,7 +102,10 @@
 	// pendingRecords are changes of the list of poison requests that wait to be proposed.
 	pendingRecords chan hingepoison.Record
 	refusals       refusals
-	done           chan struct{}
+	reads          readCounts
+	// unreadableSince is since when the configuration can't be read; zero while it can.
+	unreadableSince hingeboard.Cell[time.Time]
+	done            chan struct{}
 }
 
 // New creates a control host. It waits while the journal can't be opened, up to maxOpenAttempts times
@@ -190,7 +193,7 @@
 	defer close(c.done)
 	group, ctx := errgroup.WithContext(ctx)
 	for _, part := range []func(context.Context) error{
-		c.link.Run, c.group.Run, c.follower.Run, c.placer.Run, c.step, c.watchLeader, c.watchView, c.proposeRecords,
+		c.link.Run, c.group.Run, c.follower.Run, c.placer.Run, c.step, c.watchLeader, c.watchView, c.watchReads, c.proposeRecords,
 		c.roles.run, c.roles.orders.Run,
 	} {
 		group.Go(func() error {
