hingegroup: a lost host's vote moves within the catch-up time of the settings

Callers of the operator's API: 503 for each read and change, for good, after a control host was replaced at another address and one more disk was lost 4 s after the new host's start.

Cause: the leader waited 5 s (a constant) without an answer before it moved a vote. The settings promise that the next loss is tolerated catchUpS, 4 s, after the replacement's start. In between two of three voters are gone for good. Class: a time of our own that has to fit a bound of the settings and didn't come from it.

Change: the silence timeout is a quarter of the catch-up time, two election times at least (1 s at 4 s, 1.5 s at 6 s). Weighed: half of it. After the loss of a leader the silence counts from the next leader's start, 1.0 to 1.3 s later; with half of it 3.3 s of 4 would be gone before the first sync. The voter that comes back is a learner with all entries at once, so that moving a vote early costs two entries. Learners are removed after 15 s without an answer, as before.

--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -39,6 +39,9 @@
 	JoinOnly bool
 	// Voters is the number of voters to keep; zero means all members (hingelog rule 13).
 	Voters int
+	// CatchUp is the time after the start of a replacement within which it must have the vote of the lost
+	// host, as the next loss is tolerated from then on; zero means DefaultCatchUp. It matters only if Voters is set.
+	CatchUp time.Duration
 	// ElectionTimeout and HeartbeatInterval are those of hingelog.Settings; zero means
 	// the defaults of that package.
 	ElectionTimeout   time.Duration
@@ -65,6 +68,16 @@
 	inboxSize = 4096
 )
 
+// DefaultCatchUp is the default of Settings.CatchUp.
+const DefaultCatchUp = 4 * time.Second
+
+// silenceTimeout is how long a voter may be silent before a ready learner gets its vote. A quarter of
+// CatchUp leaves the rest for the election of a leader, which counts the silence anew, and for slow disks.
+// A returning voter is a learner with all entries at once, so that moving a vote too early costs little.
+func (s Settings) silenceTimeout() time.Duration {
+	return max(s.CatchUp/4, 2*s.ElectionTimeout)
+}
+
 func (s Settings) withDefaults() Settings {
 	if s.ElectionTimeout == 0 {
 		s.ElectionTimeout = hingelog.DefaultElectionTimeout
@@ -72,6 +85,9 @@
 	if s.HeartbeatInterval == 0 {
 		s.HeartbeatInterval = hingelog.DefaultHeartbeatInterval
 	}
+	if s.CatchUp == 0 {
+		s.CatchUp = DefaultCatchUp
+	}
 	if s.WallClock == nil {
 		s.WallClock = s.Clock
 	}
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -155,7 +155,7 @@
 		HeartbeatInterval: s.HeartbeatInterval,
 		Seed:              s.Seed,
 		Voters:            s.Voters,
-		SilenceTimeout:    hingelog.DefaultSilenceTimeout,
+		SilenceTimeout:    s.silenceTimeout(),
 	}, m.stored)
 	m.stored.Entries = nil
 	m.publish(now)
--- a/internal/agreement/hingegroup/replace_test.go
+++ b/internal/agreement/hingegroup/replace_test.go
@@ -12,7 +12,7 @@
 const (
 	// catchUpTime is the time after which the loss of a replaced host no longer counts: the next
 	// disk may be lost from then on.
-	catchUpTime = 4 * time.Second
+	catchUpTime = DefaultCatchUp
 	// contactTime is the time within which the hosts serve again after the last fault.
 	contactTime = 3 * time.Second
 )
--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -50,8 +50,8 @@
 //  13. If a number of voters is set, members join and leave without an operator. A
 //     learner that holds all committed entries is promoted while there are fewer
 //     voters than that. Otherwise it replaces a voter that hasn't answered the leader
-//     for a while: a host that was replaced at another address never returns, and
-//     while it remains a voter the next loss would leave no quorum. The replaced voter
+//     for the silence timeout: a host that was replaced at another address never returns,
+//     and while it remains a voter the next loss would leave no quorum. The replaced voter
 //     becomes a learner, in case that it returns. A learner that doesn't
 //     answer for long is removed; if it was removed wrongly, it requests to join
 //     again.
--- a/internal/agreement/hingelog/log_test.go
+++ b/internal/agreement/hingelog/log_test.go
@@ -146,7 +146,7 @@
 func TestReturnedLearnerIsNotRemovedForItsEarlierSilence(t *testing.T) {
 	l, now := newTestLeader(t)
 	l.settings.Voters = 3
-	l.settings.SilenceTimeout = DefaultSilenceTimeout
+	l.settings.SilenceTimeout = testSilence
 	confirm(l, now, 3)
 	add := Change{
 		Kind:   AddLearner,
@@ -164,15 +164,15 @@
 	}
 	before := []bool{
 		learnerAfter(0),
-		learnerAfter(lostLearnerFactor*DefaultSilenceTimeout + time.Second),
+		learnerAfter(lostLearnerFactor*testSilence + time.Second),
 	}
 	if err := l.ChangeMembers(now, add); err != nil {
 		t.Fatal(err)
 	}
 	after := []bool{
 		learnerAfter(0),
-		learnerAfter(DefaultSilenceTimeout),
-		learnerAfter(lostLearnerFactor*DefaultSilenceTimeout + time.Second),
+		learnerAfter(testSilence),
+		learnerAfter(lostLearnerFactor*testSilence + time.Second),
 	}
 	if diff := cmp.Diff([][]bool{{true, false}, {true, true, false}}, [][]bool{before, after}); diff != "" {
 		t.Fatal(diff)
--- a/internal/agreement/hingelog/members.go
+++ b/internal/agreement/hingelog/members.go
@@ -23,8 +23,8 @@
 
 // lostLearnerFactor times the silence of rule 13 is the time without answers after
 // which a learner is removed. An unreachable learner costs only its messages, so it
-// is removed later than a voter.
-const lostLearnerFactor = 3
+// is removed later than a voter, and rarely while its host restarts.
+const lostLearnerFactor = 15
 
 // Change is a membership change (rule 10).
 type Change struct {
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -283,10 +283,6 @@
 	DefaultHeartbeatInterval = 120 * time.Millisecond
 )
 
-// DefaultSilenceTimeout is longer than the restart of a process with its check-in, which takes some three
-// seconds, and short compared with the time between two losses.
-const DefaultSilenceTimeout = 5 * time.Second
-
 // LeaseDuration returns the duration of a lease, counted from the send time of its
 // heartbeat.
 func (s Settings) LeaseDuration() time.Duration {
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -49,6 +49,9 @@
 	FirstStart bool
 	// Voters is the target number of voting control hosts.
 	Voters int
+	// CatchUp is the time after which the loss of a replaced control host no longer counts; zero means
+	// hingegroup.DefaultCatchUp.
+	CatchUp time.Duration
 	// DataFolder is the folder for the host's persistent state.
 	DataFolder string
 	Parse      func(body []byte) (*hingeroutes.Table, error)
@@ -171,6 +174,7 @@
 		Open:              true,
 		JoinOnly:          !o.FirstStart,
 		Voters:            o.Voters,
+		CatchUp:           o.CatchUp,
 		ElectionTimeout:   electionTimeout,
 		HeartbeatInterval: heartbeatInterval,
 		Clock:             hingeclock.BootTime,
