hingegroup: a control host that stops hands its vote over first

Callers of the operator's API: 503 for each read and change, for good, after a control host was replaced by plan (the new one first, then SIGTERM) and a disk was lost soon after.

Cause: a process that got SIGTERM simply ended. Its vote moved only after the silence timeout, 1 s and more, while the settings count the removed host no longer once its successor has had the catch-up time, which here is over before the SIGTERM.

Change: a host that is about to stop says so in its answers to the leader (Retiring); the leader gives its vote to a learner that holds everything and has since answered without saying the same. The process waits for that for up to a second; without such a learner it stops at once, as before. Weighed: a call to the leader that asks for the change. It needs the leader to be found and a second list of who may not take votes, which a heartbeat's answer has for free and which is gone when the host starts again.

--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -316,6 +316,30 @@
 	})
 }
 
+// Retire announces that this host is about to stop, and waits until its vote has moved to another host,
+// or until no other host can take it. A host that stops with a vote leaves the group with one loss less that
+// it survives, until the vote moves.
+func (g *Group) Retire(ctx context.Context) {
+	if g.member == nil || !g.enqueue(ctx, func(now time.Time) {
+		g.member.log.Retire(now)
+	}) {
+		return
+	}
+	for {
+		changed := g.status.Changed()
+		if s := g.Status(); !s.Members.HasVoter(s.Self) && s.MembersCommitted || len(s.Members.Learners) == 0 && !s.Members.IsReplacing() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		case <-g.done:
+			return
+		}
+	}
+}
+
 type memberChange struct {
 	Admit  hingeids.HostID `cbor:"1,keyasint,omitempty"`
 	Remove hingeids.HostID `cbor:"2,keyasint,omitempty"`
--- a/internal/agreement/hingegroup/replace_test.go
+++ b/internal/agreement/hingegroup/replace_test.go
@@ -17,6 +17,14 @@
 	contactTime = 3 * time.Second
 )
 
+// stopInOrder stops a host as SIGTERM does.
+func (g *openGroup) stopInOrder(id hingeids.HostID) {
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	g.hosts[id].group.Retire(ctx)
+	g.kill(id)
+}
+
 // read returns the version that a read at a host returns.
 func (g *openGroup) read(at hingeids.HostID) (uint64, error) {
 	ctx, stop := context.WithTimeout(context.Background(), 900*time.Millisecond)
@@ -27,6 +35,16 @@
 	return uint64(g.hosts[at].machine.Documents().Load().Version), nil
 }
 
+// mustRead reads at each host.
+func (g *openGroup) mustRead(t *testing.T, want uint64) {
+	t.Helper()
+	for id := range g.hosts {
+		if v, err := g.read(id); v != want || err != nil {
+			t.Errorf("read at %s: version %d, %v", id, v, err)
+		}
+	}
+}
+
 // wipe restarts a host with an empty disk.
 func (g *openGroup) wipe(id hingeids.HostID) {
 	g.kill(id)
@@ -59,14 +77,48 @@
 						time.Sleep(catchUpTime)
 						g.wipe(wiped)
 						time.Sleep(contactTime)
-						for id := range g.hosts {
-							if v, err := g.read(id); v != 1 || err != nil {
-								t.Errorf("read at %s: version %d, %v", id, v, err)
-							}
-						}
+						g.mustRead(t, 1)
 					})
 				})
 			}
 		}
 	}
 }
+
+// A host that is replaced by plan stops only once its replacement has had the catch-up time, so that the next
+// disk may be lost at once. The vote must have moved before the host stops, or nobody can read.
+func TestDiskLostAfterPlannedReplacementLeavesQuorum(t *testing.T) {
+	for _, replaced := range seeds {
+		for _, wiped := range seeds {
+			if replaced == wiped {
+				continue
+			}
+			t.Run(fmt.Sprint(replaced, " ", wiped), func(t *testing.T) {
+				withOpenGroup(t, func(t *testing.T, g *openGroup) {
+					g.mustChange("core-1", 1)
+					g.start("core-4", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+					time.Sleep(catchUpTime)
+					g.stopInOrder(replaced)
+					g.wipe(wiped)
+					time.Sleep(contactTime)
+					g.mustRead(t, 1)
+				})
+			})
+		}
+	}
+}
+
+// Hosts that stop at the same time must not pass their votes to one another: the group would wait for hosts
+// that never return.
+func TestStoppingHostsTakeNoVotes(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		g.start("core-4", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+		time.Sleep(catchUpTime)
+		g.hosts["core-4"].group.Retire(t.Context())
+		g.stopInOrder("core-1")
+		if v := g.voters("core-2"); v["core-4"] {
+			t.Fatalf("voters %v", v)
+		}
+	})
+}
--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -55,4 +55,7 @@
 //     becomes a learner, in case that it returns. A learner that doesn't
 //     answer for long is removed; if it was removed wrongly, it requests to join
 //     again.
+//  14. A member that is about to stop says so in its answers. If it is a voter, the leader
+//     gives its vote to a learner that is ready and doesn't stop as well: the host may
+//     never return, and the next loss may come before rule 13 has moved the vote.
 package hingelog
--- a/internal/agreement/hingelog/lease.go
+++ b/internal/agreement/hingelog/lease.go
@@ -78,14 +78,16 @@
 // Status is a member's view of the log and its members. MatchIndexes is set only on a
 // leader.
 type Status struct {
-	Self         Member
-	Leader       Member
-	IsLeader     bool
-	Term         Term
-	Commit       Index
-	LastIndex    Index
-	Members      Members
-	MatchIndexes []MatchIndex
+	Self      Member
+	Leader    Member
+	IsLeader  bool
+	Term      Term
+	Commit    Index
+	LastIndex Index
+	Members   Members
+	// MembersCommitted reports whether Members are committed.
+	MembersCommitted bool
+	MatchIndexes     []MatchIndex
 }
 
 // Status returns the member's current view.
@@ -98,6 +100,8 @@
 		Commit:    l.commit,
 		LastIndex: l.last().Index,
 		Members:   l.currentMembers(),
+
+		MembersCommitted: l.members[len(l.members)-1].index <= l.commit,
 	}
 	if s.IsLeader {
 		s.MatchIndexes = l.matches()
--- a/internal/agreement/hingelog/log.go
+++ b/internal/agreement/hingelog/log.go
@@ -47,6 +47,9 @@
 	leaderSince     time.Time
 	nextHeartbeatAt time.Time
 
+	// retiringSince is zero unless this member is about to stop.
+	retiringSince time.Time
+
 	checkedIn     bool
 	staleDisk     bool
 	checkInRound  uint64
@@ -74,6 +77,8 @@
 	// that the member answered.
 	ackedSendTime   time.Time
 	snapshotRetryAt time.Time
+	// retiringSince is when the member's answer said that it is about to stop; zero if it doesn't say so.
+	retiringSince time.Time
 }
 
 // New creates a member from the state on its disk.
--- a/internal/agreement/hingelog/members.go
+++ b/internal/agreement/hingelog/members.go
@@ -213,7 +213,7 @@
 		old.Voters = old.Outgoing
 	}
 	var out []Event
-	add := func(k EventKind, members []Member, known []Member) {
+	add := func(k EventKind, members, known []Member) {
 		for _, m := range members {
 			if !slices.Contains(known, m) {
 				out = append(out, Event{
@@ -285,7 +285,7 @@
 // isReady reports whether a learner may get a vote (rule 11).
 func (l *Log) isReady(now time.Time, x Member) bool {
 	p := l.progressOf(x)
-	return p.match >= l.commit && now.Sub(p.ackedSendTime) <= l.settings.ElectionTimeout
+	return p.match >= l.commit && now.Sub(p.ackedSendTime) <= l.settings.ElectionTimeout && p.retiringSince.IsZero()
 }
 
 func replacement(voter, learner Member) Change {
@@ -305,13 +305,31 @@
 		}, true
 	}
 	for _, m := range l.currentMembers().Voters {
-		if m != l.settings.Self && l.unansweredFor(now, m) > l.settings.SilenceTimeout {
+		// A host that stops at the same time must not take the vote: its answer to a message that was sent
+		// later would say so.
+		since := l.retiringSinceOf(m)
+		isRetiring := !since.IsZero() && l.progressOf(x).ackedSendTime.After(since)
+		if isRetiring || m != l.settings.Self && l.unansweredFor(now, m) > l.settings.SilenceTimeout {
 			return replacement(m, x), true
 		}
 	}
 	return Change{}, false
 }
 
+// Retire makes a leader give this member's vote to a learner that is ready (rule 14).
+func (l *Log) Retire(now time.Time) {
+	if l.retiringSince.IsZero() {
+		l.retiringSince = now
+	}
+}
+
+func (l *Log) retiringSinceOf(m Member) time.Time {
+	if m == l.settings.Self {
+		return l.retiringSince
+	}
+	return l.progressOf(m).retiringSince
+}
+
 // The time is counted from the first message to the member in this term at the
 // earliest.
 func (l *Log) unansweredFor(now time.Time, m Member) time.Duration {
--- a/internal/agreement/hingelog/replicate.go
+++ b/internal/agreement/hingelog/replicate.go
@@ -247,12 +247,13 @@
 		at.Index = l.commit
 	}
 	l.send(Message{
-		Kind:    AppendResponse,
-		To:      m.From,
-		Term:    l.hardState.Term,
-		At:      at,
-		Granted: granted,
-		SentAt:  m.SentAt,
+		Kind:     AppendResponse,
+		To:       m.From,
+		Term:     l.hardState.Term,
+		At:       at,
+		Granted:  granted,
+		SentAt:   m.SentAt,
+		Retiring: !l.retiringSince.IsZero(),
 	})
 }
 
@@ -261,6 +262,12 @@
 		return
 	}
 	p := l.progressOf(m.From)
+	switch {
+	case !m.Retiring:
+		p.retiringSince = time.Time{}
+	case p.retiringSince.IsZero():
+		p.retiringSince = now
+	}
 	if sent := l.started.Add(time.Duration(m.SentAt)); sent.After(p.ackedSendTime) {
 		p.ackedSendTime = sent
 	}
--- a/internal/agreement/hingelog/schedules_test.go
+++ b/internal/agreement/hingelog/schedules_test.go
@@ -41,6 +41,7 @@
 	compact
 	joinAll
 	replaceHost
+	retireHost
 	actionKinds
 )
 
@@ -107,6 +108,10 @@
 		}
 	case joinAll:
 		c.join()
+	case retireHost:
+		if n.log != nil {
+			n.log.Retire(c.clock(n))
+		}
 	case replaceHost:
 		if c.host("d") == nil {
 			c.start(c.addNode(Member{
--- a/internal/agreement/hingelog/snapshot.go
+++ b/internal/agreement/hingelog/snapshot.go
@@ -93,11 +93,12 @@
 // The answer confirms no entries.
 func (l *Log) answerHeartbeat(m Message) {
 	l.send(Message{
-		Kind:    AppendResponse,
-		To:      m.From,
-		Term:    l.hardState.Term,
-		At:      l.last(),
-		Granted: false,
-		SentAt:  m.SentAt,
+		Kind:     AppendResponse,
+		To:       m.From,
+		Term:     l.hardState.Term,
+		At:       l.last(),
+		Granted:  false,
+		SentAt:   m.SentAt,
+		Retiring: !l.retiringSince.IsZero(),
 	})
 }
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -186,6 +186,8 @@
 	MatchIndexes []MatchIndex `cbor:"11,keyasint,omitempty"`
 	// Round identifies the start that a check-in belongs to. Answers echo it.
 	Round uint64 `cbor:"12,keyasint,omitempty"`
+	// Retiring is set in an AppendResponse if the sender is about to stop (rule 14).
+	Retiring bool `cbor:"13,keyasint,omitempty"`
 }
 
 // EventKind is the kind of an event.
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -82,6 +82,9 @@
 	// maxOpenAttempts and openRetryDelay limit how long New waits for a disk that rejects writes.
 	maxOpenAttempts = 100
 	openRetryDelay  = 300 * time.Millisecond
+	// retireTimeout limits the wait for another host to take this host's vote, which takes a heartbeat and
+	// two syncs at a quorum.
+	retireTimeout = time.Second
 )
 
 // Control is a control host.
@@ -189,6 +192,13 @@
 	return c.done
 }
 
+// Retire hands this host's vote to a control host that is ready to take it, before this host stops.
+func (c *Control) Retire(ctx context.Context) {
+	retireCtx, stop := context.WithTimeout(ctx, retireTimeout)
+	defer stop()
+	c.group.Retire(retireCtx)
+}
+
 // Run serves until the context is canceled or a part fails.
 func (c *Control) Run(ctx context.Context) error {
 	defer close(c.done)
