hingelog: votes are spread over zones

Operators: no change accepted and no read while one zone is lost, though the settings declare the loss of one zone as tolerated.

Cause: a lost voter's vote went to the first learner that was ready, wherever it was, and stayed there. With a standby in another voter's zone that zone had two of three votes from then on, also after all hosts were back. The same class: the vote doesn't follow what the settings count.

The zone of a host is what the control hosts tell each other; an unknown zone counts for itself.

--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -42,6 +42,8 @@
 	// CatchUp is the time after the start of a replacement within which it must have the vote of the lost
 	// host, as the next loss is tolerated from then on; zero means DefaultCatchUp. It matters only if Voters is set.
 	CatchUp time.Duration
+	// Zone returns the zone of a host, or an empty one if it isn't known. It may be nil.
+	Zone func(hingeids.HostID) hingeids.Zone
 	// ElectionTimeout and HeartbeatInterval are those of hingelog.Settings; zero means
 	// the defaults of that package.
 	ElectionTimeout   time.Duration
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -156,6 +156,7 @@
 		Seed:              s.Seed,
 		Voters:            s.Voters,
 		SilenceTimeout:    s.silenceTimeout(),
+		Zone:              s.Zone,
 	}, m.stored)
 	m.stored.Entries = nil
 	m.publish(now)
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -66,6 +66,7 @@
 	network *hingefake.Network
 	hosts   map[hingeids.HostID]*openHost
 	starts  uint64
+	zones   map[hingeids.HostID]hingeids.Zone
 	// clockLag is how far the time of day is behind on the hosts that start calls create.
 	clockLag time.Duration
 }
@@ -106,7 +107,10 @@
 		Open:     true,
 		JoinOnly: !bootstraps,
 		Voters:   3,
-		Clock:    time.Now,
+		Zone: func(h hingeids.HostID) hingeids.Zone {
+			return g.zones[h]
+		},
+		Clock: time.Now,
 		WallClock: func() time.Time {
 			return time.Now().Add(-clockLag)
 		},
--- a/internal/agreement/hingegroup/replace_test.go
+++ b/internal/agreement/hingegroup/replace_test.go
@@ -122,3 +122,31 @@
 		}
 	})
 }
+
+// A vote that has moved to another zone must move back once its zone has a host that is ready. Otherwise one zone
+// has most votes, and nobody can read while that zone is lost.
+func TestVotesReturnToTheirZone(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.zones = map[hingeids.HostID]hingeids.Zone{
+			"core-1": "zone-1",
+			"core-2": "zone-2",
+			"core-3": "zone-3",
+			"core-4": "zone-1",
+			"core-5": "zone-2",
+			"core-6": "zone-3",
+		}
+		g.mustChange("core-1", 1)
+		g.start("core-4", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+		time.Sleep(catchUpTime)
+		away := g.kill("core-3")
+		time.Sleep(catchUpTime)
+		g.start("core-3", away.disk, false)
+		g.start("core-5", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+		g.start("core-6", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+		time.Sleep(catchUpTime)
+		g.kill("core-1")
+		g.kill("core-4")
+		time.Sleep(contactTime)
+		g.mustRead(t, 1)
+	})
+}
--- a/internal/agreement/hingelog/cluster_test.go
+++ b/internal/agreement/hingelog/cluster_test.go
@@ -52,6 +52,7 @@
 	// zero voters means that all members vote.
 	voters              int
 	silence             time.Duration
+	zones               map[hingeids.HostID]hingeids.Zone
 	lastIncarnation     uint64
 	violation           string
 	proposed            int
@@ -122,6 +123,9 @@
 		Seed:              c.lastIncarnation ^ c.random.Uint64(),
 		Voters:            c.voters,
 		SilenceTimeout:    c.silence,
+		Zone: func(h hingeids.HostID) hingeids.Zone {
+			return c.zones[h]
+		},
 	}, DurableState{
 		HardState:    n.disk.HardState,
 		Snapshot:     n.disk.Snapshot,
--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -58,4 +58,7 @@
 //  14. A member that is about to stop says so in its answers. If it is a voter, the leader
 //     gives its vote to a learner that is ready and doesn't stop as well: the host may
 //     never return, and the next loss may come before rule 13 has moved the vote.
+//  15. Votes are spread over zones as evenly as the members that are ready allow.
+//     Otherwise the loss of one zone could take the quorum, after votes have moved
+//     between zones.
 package hingelog
--- a/internal/agreement/hingelog/replace_test.go
+++ b/internal/agreement/hingelog/replace_test.go
@@ -3,16 +3,24 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
 const testSilence = time.Second
 
-// newClusterWithSpare returns a cluster of three voters and a learner d, which replaces a voter that is
-// silent.
+// newClusterWithSpare returns a cluster of three voters and a learner d in a's zone, which replaces a voter
+// that is silent.
 func newClusterWithSpare(seed uint64) *cluster {
 	c := newCluster(seed, "a", "b", "c")
 	c.voters = 3
 	c.silence = testSilence
+	c.zones = map[hingeids.HostID]hingeids.Zone{
+		"a": "zone-1",
+		"b": "zone-2",
+		"c": "zone-3",
+		"d": "zone-1",
+	}
 	for _, n := range c.nodes {
 		c.start(n)
 	}
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -275,6 +275,8 @@
 	// SilenceTimeout is how long a voter may leave the leader's messages unanswered
 	// before a learner replaces it (rule 13).
 	SilenceTimeout time.Duration
+	// Zone returns the zone of a host, or an empty one if it isn't known (rule 15). It may be nil.
+	Zone func(hingeids.HostID) hingeids.Zone
 }
 
 // DefaultElectionTimeout and DefaultHeartbeatInterval suit zones a few milliseconds
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -178,6 +178,7 @@
 		JoinOnly:          !o.FirstStart,
 		Voters:            o.Voters,
 		CatchUp:           o.CatchUp,
+		Zone:              c.ZoneOf,
 		ElectionTimeout:   electionTimeout,
 		HeartbeatInterval: heartbeatInterval,
 		Clock:             hingeclock.BootTime,
