--- a/internal/agreement/hingelog/members.go
+++ b/internal/agreement/hingelog/members.go
@@ -21,11 +21,6 @@
 	completeReplacement
 )
 
-// lostLearnerFactor times the silence of rule 13 is the time without answers after
-// which a learner is removed. An unreachable learner costs only its messages, so it
-// is removed later than a voter, and rarely while its host restarts.
-const lostLearnerFactor = 15
-
 // Change is a membership change (rule 10).
 type Change struct {
 	Kind   ChangeKind `cbor:"1,keyasint"`
@@ -213,7 +208,7 @@
 		old.Voters = old.Outgoing
 	}
 	var out []Event
-	add := func(k EventKind, members []Member, known []Member) {
+	add := func(k EventKind, members, known []Member) {
 		for _, m := range members {
 			if !slices.Contains(known, m) {
 				out = append(out, Event{
@@ -228,113 +223,3 @@
 	add(Removed, old.All(), next.All())
 	return out
 }
-
-// repair implements rules 11 and 13.
-func (l *Log) repair(now time.Time) {
-	m := l.currentMembers()
-	if !m.IsReplacing() && len(m.Learners) == 0 || !l.MayLead(now) {
-		return
-	}
-	if c, needed := l.nextRepair(now); needed {
-		// The next tick retries if another change is pending.
-		_ = l.ChangeMembers(now, c)
-	}
-}
-
-func (l *Log) nextRepair(now time.Time) (Change, bool) {
-	if l.currentMembers().IsReplacing() {
-		return Change{
-			Kind: completeReplacement,
-		}, true
-	}
-	if x, ok := l.lostLearner(now); ok {
-		return Change{
-			Kind:   Remove,
-			Member: x,
-		}, true
-	}
-	for _, x := range l.currentMembers().Learners {
-		if c, needed := l.repairStep(now, x); needed {
-			return c, true
-		}
-	}
-	return Change{}, false
-}
-
-func (l *Log) repairStep(now time.Time, x Member) (Change, bool) {
-	for _, m := range l.currentMembers().Learners {
-		if m.Host == x.Host && m.Disk > x.Disk {
-			return Change{
-				Kind:   Remove,
-				Member: x,
-			}, true
-		}
-	}
-	if !l.isReady(now, x) {
-		return Change{}, false
-	}
-	for _, m := range l.currentMembers().Voters {
-		if m.Host == x.Host {
-			// Two voting incarnations would give the host two votes.
-			return replacement(m, x), true
-		}
-	}
-	return l.promoteOrReplaceVoter(now, x)
-}
-
-// isReady reports whether a learner may get a vote (rule 11).
-func (l *Log) isReady(now time.Time, x Member) bool {
-	p := l.progressOf(x)
-	return p.match >= l.commit && now.Sub(p.ackedSendTime) <= l.settings.ElectionTimeout
-}
-
-func replacement(voter, learner Member) Change {
-	return Change{
-		Kind:     Replace,
-		Member:   learner,
-		Replaced: voter,
-	}
-}
-
-// promoteOrReplaceVoter implements rule 13.
-func (l *Log) promoteOrReplaceVoter(now time.Time, x Member) (Change, bool) {
-	if l.settings.Voters == 0 || len(l.currentMembers().Voters) < l.settings.Voters {
-		return Change{
-			Kind:   Promote,
-			Member: x,
-		}, true
-	}
-	for _, m := range l.currentMembers().Voters {
-		if m != l.settings.Self && l.unansweredFor(now, m) > l.settings.SilenceTimeout {
-			return replacement(m, x), true
-		}
-	}
-	return Change{}, false
-}
-
-// The time is counted from the first message to the member in this term at the
-// earliest.
-func (l *Log) unansweredFor(now time.Time, m Member) time.Duration {
-	p := l.progressOf(m)
-	switch {
-	case p.firstSentAt.IsZero():
-		return 0
-	case p.ackedSendTime.After(p.firstSentAt):
-		return now.Sub(p.ackedSendTime)
-	}
-	return now.Sub(p.firstSentAt)
-}
-
-// lostLearner implements rule 13 if hosts join by themselves. A learner that was
-// removed wrongly requests to join again.
-func (l *Log) lostLearner(now time.Time) (Member, bool) {
-	if l.settings.Voters == 0 {
-		return Member{}, false
-	}
-	for _, m := range l.currentMembers().Learners {
-		if l.unansweredFor(now, m) > lostLearnerFactor*l.settings.SilenceTimeout {
-			return m, true
-		}
-	}
-	return Member{}, false
-}
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -186,6 +186,8 @@
 	MatchIndexes []MatchIndex `cbor:"11,keyasint,omitempty"`
 	// Round identifies the start that a check-in belongs to. Answers echo it.
 	Round uint64 `cbor:"12,keyasint,omitempty"`
+	// Retiring is set in an AppendResponse if the sender is about to stop (rule 14).
+	Retiring bool `cbor:"13,keyasint,omitempty"`
 }
 
 // EventKind is the kind of an event.
@@ -273,6 +275,8 @@
 	// SilenceTimeout is how long a voter may leave the leader's messages unanswered
 	// before a learner replaces it (rule 13).
 	SilenceTimeout time.Duration
+	// Zone returns the zone of a host, or an empty one if it isn't known (rule 15). It may be nil.
+	Zone func(hingeids.HostID) hingeids.Zone
 }
 
 // DefaultElectionTimeout and DefaultHeartbeatInterval suit zones a few milliseconds
