hingegroup: a read or change works at each host that finds the leader, whatever its own copy holds

Callers of the operator's API: 503 at a host that was just wiped, had been removed, or whose copy lagged, beside a leader that served all others. Cause: a member relied on its own log for the leader, and on its own copy for the answer.

Change: a member whose log knows no leader asks the hosts that it knows, follows redirects, and needs an answer given under the lease. They are its seeds, the members, the control hosts that its follower knows, and hosts from which messages of the group have arrived, also those for a lost disk (they are contacts for joining too). ReadState returns the local state if that holds the index that the leader gave, else the leader's, read there under its lease after waiting for its own state machine. A member waits two heartbeats for its own copy first. A state replaced by the disk's older one meanwhile (rule 8) is not returned. Reads of one moment share one query that starts after their arrival; so do discoveries. Proposals search in the same way, and are resent only after a refusal or if they were never sent.

Weighed: (a) this; (b) the operator's call is relayed, whole, to any other control host, which reads as before. (b) needs no state on the wire, but the relay may hit another host that is behind or lost, one hop can't be told from two, and a change that is relayed and unanswered needs a verdict of its own. In (a) one host, the leader under its lease, answers for the state, and the log's rules for proposals hold unchanged. Followers' reads (Control.Read) don't search: a host that is behind must refuse them soon, so that they choose another.

Tests came first and failed: wiped, lagging, removed, seeds gone, sharing (1000 calls for 1000 reads; now under 10 with 1 ms of latency). 30 drawn schedules of restarts, empty disks, cuts and stalls: no read older than accepted before it, nothing accepted lost. Mutations that these tests catch: an own copy one entry behind is served; a run that started earlier is shared. A leader that ignores its lease isn't caught by the drawn schedules, but by TestFailedReadStatesItsReason. The fake disk's full flag is atomic now, for the race detector.

--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -21,7 +21,7 @@
 //     host that the leader knows.
 //  5. A proposal is forwarded to the leader. Its error is NotRun only if the log
 //     refused it, if it was never sent, or if another entry was committed at its index.
-//     Without a leader it is refused at once, with a retry time.
+//     If no leader is found (rule 9), it is refused with a retry time.
 //  6. Read requests the committed index from the leader, which answers under its lease,
 //     and waits until the local state machine has applied that index.
 //  7. In an open group hosts join without an operator, and the leader keeps the number
@@ -31,4 +31,9 @@
 //  8. A failed write doesn't end the process. What it left on the disk is unknown, so the
 //     member discards its state in memory and restarts from the disk once writes succeed
 //     again. Until then it neither votes nor leads.
+//  9. A host whose log knows no leader asks all hosts that it knows for it: those of its
+//     settings, the members, and hosts from which messages of the group have arrived, also
+//     those for a lost disk. ReadState takes the state from the leader, under its lease,
+//     unless the local copy holds everything that the leader had committed. Reads of one
+//     moment share one query, which starts after each of them has arrived.
 package hingegroup
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -114,18 +115,24 @@
 // Group is one host's part in a group. On a host without a disk it only forwards
 // proposals and reads to the leader. Its methods may be called from any goroutine.
 type Group struct {
-	settings   Settings
-	link       hingelink.Link
-	machine    StateMachine
-	member     *member
-	inbox      chan func(now time.Time)
-	status     hingeboard.Cell[Status]
-	hint       hingeboard.Cell[leaderHint]
-	senders    *senders
-	peers      peers
-	failures   failures
-	extraHosts hingeboard.Cell[[]hingeids.HostID]
-	done       chan struct{}
+	settings    Settings
+	link        hingelink.Link
+	machine     StateMachine
+	member      *member
+	inbox       chan func(now time.Time)
+	status      hingeboard.Cell[Status]
+	hint        hingeboard.Cell[leaderHint]
+	senders     *senders
+	peers       peers
+	failures    failures
+	extraHosts  hingeboard.Cell[[]hingeids.HostID]
+	export      func() []byte
+	contacts    func() []hingeids.HostID
+	stateReads  shared[stateRead]
+	discoveries shared[discovery]
+	// reopens counts the restarts of the member from its disk (rule 8).
+	reopens atomic.Uint64
+	done    chan struct{}
 }
 
 // New opens a host's part and registers its handlers at the link. A host without a
@@ -159,16 +166,22 @@
 	g.extraHosts.Store(&list)
 }
 
-// knownHosts returns the hosts of the settings and of SetExtraHosts, and those of all
-// members.
+// knownHosts returns the hosts of the settings, of SetExtraHosts and of SetContacts, all members, and the
+// hosts from which messages of the group have arrived.
 func (g *Group) knownHosts() []hingeids.HostID {
 	list := slices.Clone(g.settings.Hosts)
 	if extra := g.extraHosts.Load(); extra != nil {
 		list = append(list, *extra...)
 	}
+	if g.contacts != nil {
+		list = append(list, g.contacts()...)
+	}
 	for _, m := range g.Status().Members.All() {
 		list = append(list, m.Host)
 	}
+	for _, p := range g.peers.all() {
+		list = append(list, p.Member.Host)
+	}
 	slices.Sort(list)
 	return slices.Compact(list)
 }
--- a/internal/agreement/hingegroup/handlers.go
+++ b/internal/agreement/hingegroup/handlers.go
@@ -23,7 +23,7 @@
 	g.link.HandleCall(g.method("part"), func(_ context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
 		return nil, g.senders.receivePart(from, body)
 	})
-	for _, name := range []string{"propose", "read"} {
+	for _, name := range []operation{operationPropose, operationRead} {
 		g.link.HandleCall(g.method(name), func(ctx context.Context, _ hingeids.HostID, body []byte) ([]byte, error) {
 			return encode(g.handleLocal(ctx, name, body)), nil
 		})
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -88,6 +88,8 @@
 func (m *member) reopen(ctx context.Context) error {
 	m.failWaiters()
 	m.group.status.Store(&Status{})
+	// After the status, so that a reader of both never takes the earlier status for the state that follows.
+	m.group.reopens.Add(1)
 	for {
 		_ = m.journal.Close()
 		select {
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,7 +22,7 @@
 // Writes fail while full is set.
 type fillableDisk struct {
 	*memoryDisk
-	full bool
+	full atomic.Bool
 }
 
 func (f *fillableDisk) Create(name string) (hingejournal.File, error) {
@@ -46,7 +47,7 @@
 }
 
 func (f *fillableFile) Write(b []byte) (int, error) {
-	if f.disk.full {
+	if f.disk.full.Load() {
 		return 0, errDiskFull
 	}
 	return f.File.Write(b)
@@ -69,6 +70,10 @@
 	zones   map[hingeids.HostID]hingeids.Zone
 	// clockLag is how far the time of day is behind on the hosts that start calls create.
 	clockLag time.Duration
+	// seeds are those of the hosts that start calls create, and contacts the hosts that they know besides.
+	seeds    []hingeids.HostID
+	contacts []hingeids.HostID
+	calls    callCounts
 }
 
 func withOpenGroup(t *testing.T, f func(t *testing.T, g *openGroup)) {
@@ -77,6 +82,7 @@
 			t:       t,
 			network: hingefake.NewNetwork(),
 			hosts:   make(map[hingeids.HostID]*openHost),
+			seeds:   seeds,
 		}
 		for _, id := range seeds {
 			g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, true)
@@ -103,7 +109,7 @@
 	x.group, err = New(Settings{
 		Name:     "config",
 		Self:     id,
-		Hosts:    seeds,
+		Hosts:    g.seeds,
 		Open:     true,
 		JoinOnly: !bootstraps,
 		Voters:   3,
@@ -115,10 +121,18 @@
 			return time.Now().Add(-clockLag)
 		},
 		Seed: g.starts,
-	}, g.network.Link(id), disk, x.machine)
+	}, &countingLink{
+		Link:   g.network.Link(id),
+		counts: &g.calls,
+	}, disk, x.machine)
 	if err != nil {
 		g.t.Fatal(err)
 	}
+	x.group.ServeState(x.machine.Snapshot)
+	contacts := g.contacts
+	x.group.SetContacts(func() []hingeids.HostID {
+		return contacts
+	})
 	ctx, stop := context.WithCancel(context.Background())
 	x.stop = stop
 	go func() {
@@ -256,14 +270,14 @@
 	for _, full := range seeds {
 		withOpenGroup(t, func(t *testing.T, g *openGroup) {
 			g.mustChange("core-1", 1)
-			g.hosts[full].disk.full = true
+			g.hosts[full].disk.full.Store(true)
 			other := seeds[0]
 			if full == other {
 				other = seeds[1]
 			}
 			g.mustChange(other, 2)
 			time.Sleep(5 * time.Second)
-			g.hosts[full].disk.full = false
+			g.hosts[full].disk.full.Store(false)
 			time.Sleep(4 * time.Second)
 			if got := g.hosts[full].machine.Documents().Load().Version; got != 2 {
 				t.Errorf("%s holds version %d after its disk had free space again", full, got)
--- a/internal/agreement/hingegroup/propose.go
+++ b/internal/agreement/hingegroup/propose.go
@@ -33,10 +33,29 @@
 	answer chan<- outcome
 }
 
+// operation is what a host requests from the leader, and the name of its method.
+type operation string
+
+// A proposal replicates data, a read returns the committed index and operationState the leader's state.
+const (
+	operationPropose operation = "propose"
+	operationRead    operation = "read"
+	operationState   operation = "state"
+)
+
+// search says whether a member that knows no leader asks the other hosts for one.
+type search bool
+
+// A read of the local copy doesn't search: the copy of a member without a leader doesn't catch up.
+const (
+	searching    search = true
+	notSearching search = false
+)
+
 // Propose replicates data and returns the result of applying it. It blocks until the
 // entry is committed. The error carries a verdict (rule 5).
 func (g *Group) Propose(ctx context.Context, data []byte) ([]byte, error) {
-	o, _, err := g.requestLeader(ctx, "propose", data)
+	o, _, err := g.requestLeader(ctx, operationPropose, data, searching)
 	if err == nil {
 		g.failures.clear()
 	}
@@ -47,7 +66,7 @@
 // before the call, and returns that index (rule 6). On a host without a disk it only
 // returns the index. The error carries a verdict.
 func (g *Group) Read(ctx context.Context) (uint64, error) {
-	o, asked, err := g.requestLeader(ctx, "read", nil)
+	o, asked, err := g.requestLeader(ctx, operationRead, nil, notSearching)
 	if err != nil || g.member == nil {
 		return uint64(o.Index), err
 	}
@@ -96,52 +115,58 @@
 // is refused.
 const maxLeaderAttempts = 4
 
-// requestLeader sends a proposal or a read to the leader, or the next one if it was
-// refused, and returns also the hosts that were asked. It never resends what may have run.
-func (g *Group) requestLeader(ctx context.Context, operation string, body []byte) (outcome, []hingeids.HostID, error) {
-	var asked []hingeids.HostID
+// requestLeader sends a request to the leader, or to the next one if it was refused, and returns also
+// the hosts that were asked. It never resends a proposal that may have run.
+func (g *Group) requestLeader(ctx context.Context, op operation, body []byte, s search) (outcome, []hingeids.HostID, error) {
+	p := g.newPursuit(s)
 	last := Unavailable{
 		Reason: NoLeader,
 	}
 	for range maxLeaderAttempts {
-		leader := g.findLeader(ctx)
-		if leader == "" {
-			last.Reason = NoLeader
+		t, ok := p.next(ctx)
+		if !ok {
 			break
 		}
-		asked = append(asked, leader)
-		o, err := g.callLeader(ctx, leader, operation, body)
-		last = Unavailable{
-			Reason: LeaderWithoutLease,
-			Leader: leader,
-			Asked:  asked,
-			Cause:  err,
+		o, err := g.callLeader(ctx, t, op, body)
+		if err == nil && !o.Refused && !o.Uncertain {
+			g.setLeaderHint(t.host)
+			return o, p.asked, nil
 		}
-		switch {
-		case err != nil:
-			last.Reason = LeaderUnreachable
-			if hingeverdict.Of(err) != hingeverdict.NotRun {
-				return outcome{}, asked, withCause(err, g.unavailable(last))
-			}
-		case o.Uncertain:
-			last.Reason = LeaderUnreachable
-			last.Cause = eris.Errorf("host %s stopped leading group %s before it answered", leader, g.settings.Name)
-			return outcome{}, asked, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeNoQuorum, g.retryAfter(), g.unavailable(last))
-		case !o.Refused:
-			g.setLeaderHint(leader)
-			return o, asked, nil
+		last = failedRequest(t.host, o, err)
+		if unclear := last.Reason == LeaderUnreachable && hingeverdict.Of(last.Cause) != hingeverdict.NotRun; unclear &&
+			(op == operationPropose || s == notSearching) {
+			last.Asked = p.asked
+			return outcome{}, p.asked, withCause(last.Cause, g.unavailable(last))
 		}
 		g.setLeaderHint(o.Leader)
-		if g.member != nil && (o.Leader == "" || o.Leader == leader) {
-			// There is no redirect, and this member learns of the next leader from
-			// its own log.
-			break
-		}
+		p.redirect = o.Leader
+	}
+	last.Asked = p.asked
+	if last.Reason == NoLeader {
+		last.Asked = p.contacted
 	}
 	if g.stopped() {
 		last.Reason = Stopping
 	}
-	return outcome{}, asked, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoQuorum, g.retryAfter(), g.unavailable(last))
+	return outcome{}, p.asked, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeNoQuorum, g.retryAfter(), g.unavailable(last))
+}
+
+// failedRequest returns why a host that was taken for the leader gave no result.
+func failedRequest(h hingeids.HostID, o outcome, err error) Unavailable {
+	u := Unavailable{
+		Reason: LeaderUnreachable,
+		Leader: h,
+		Cause:  err,
+	}
+	switch {
+	case err != nil:
+	case o.Uncertain:
+		u.Cause = hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeNoQuorum, 0,
+			eris.Errorf("host %s stopped leading before it answered", h))
+	default:
+		u.Reason = LeaderWithoutLease
+	}
+	return u
 }
 
 func (g *Group) stopped() bool {
@@ -161,125 +186,14 @@
 	return hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeLinkDown, 0, cause)
 }
 
-// The hint is used on a host without a disk.
-func (g *Group) setLeaderHint(h hingeids.HostID) {
-	g.hint.Store(&leaderHint{
-		host:   h,
-		seenAt: g.settings.Clock(),
-	})
-}
-
-// leaderHint is the host that led the group at seenAt.
-type leaderHint struct {
-	host   hingeids.HostID
-	seenAt time.Time
-}
-
-// findLeader returns the leader, or "" if none is known. A host without a disk
-// discovers the leader unless its hint is newer than an election time. Discovery can
-// be canceled without harm, but a proposal sent to an unresponsive host may have run.
-func (g *Group) findLeader(ctx context.Context) hingeids.HostID {
-	if g.member != nil {
-		return g.Status().Leader.Host
-	}
-	hint := g.hint.Load()
-	if hint != nil && hint.host != "" && g.settings.Clock().Sub(hint.seenAt) < g.settings.ElectionTimeout {
-		return hint.host
-	}
-	return g.discoverLeader(ctx)
-}
-
-// leaderReply is one host's reply during discovery: itself as leader, or a redirect.
-type leaderReply struct {
-	leader   hingeids.HostID
-	redirect hingeids.HostID
-}
-
-// discoverLeader queries all known hosts concurrently and returns the first that leads,
-// else one named by a redirect. A leader that replaced a configured host is found only
-// by a redirect.
-func (g *Group) discoverLeader(ctx context.Context) hingeids.HostID {
-	callCtx, stop := context.WithTimeout(ctx, g.settings.ElectionTimeout)
-	defer stop()
-	hosts := g.knownHosts()
-	replies := make(chan leaderReply, len(hosts))
-	for _, h := range hosts {
-		go func() {
-			o, err := g.callHost(callCtx, h, "read", nil)
-			switch {
-			case err != nil || o.Uncertain:
-				replies <- leaderReply{}
-			case o.Refused:
-				replies <- leaderReply{
-					redirect: o.Leader,
-				}
-			default:
-				replies <- leaderReply{
-					leader: h,
-				}
-			}
-		}()
-	}
-	redirect := hingeids.HostID("")
-	for range hosts {
-		reply := <-replies
-		if reply.leader != "" {
-			return reply.leader
-		}
-		if reply.redirect != "" {
-			redirect = reply.redirect
-		}
-	}
-	return redirect
-}
-
-// callLeader calls the leader and cancels the call once the host no longer leads. The link
-// alone would take seconds to detect an unresponsive host.
-func (g *Group) callLeader(ctx context.Context, leader hingeids.HostID, operation string, body []byte) (outcome, error) {
-	callCtx, stop := context.WithCancel(ctx)
-	defer stop()
-	g.watchLeader(callCtx, leader, stop)
-	return g.callHost(callCtx, leader, operation, body)
-}
-
-// watchLeader calls stop if the host no longer leads, and ends with the context.
-func (g *Group) watchLeader(ctx context.Context, leader hingeids.HostID, stop context.CancelFunc) {
-	interval := g.settings.HeartbeatInterval
-	if g.member == nil {
-		interval = g.settings.ElectionTimeout
-	}
-	time.AfterFunc(interval, func() {
-		switch {
-		case ctx.Err() != nil:
-		case g.hasStoppedLeading(ctx, leader):
-			stop()
-		default:
-			g.watchLeader(ctx, leader, stop)
-		}
-	})
-}
-
-func (g *Group) hasStoppedLeading(ctx context.Context, leader hingeids.HostID) bool {
-	if g.member != nil {
-		s := g.Status()
-		return s.Leader.Host != leader || leader == g.settings.Self && g.leaseLapsed(s)
-	}
-	h := g.discoverLeader(ctx)
-	return h != "" && h != leader
-}
-
-// leaseLapsed reports whether the lease in this host's own status ended more than an
-// election time ago. The loop is then blocked by a stalled disk, so the status is stale and
-// proposals here would wait until the disk answers.
-func (g *Group) leaseLapsed(s Status) bool {
-	return !s.LeaseUntil.IsZero() && g.settings.Clock().After(s.LeaseUntil.Add(g.settings.ElectionTimeout))
-}
-
-func (g *Group) callHost(ctx context.Context, h hingeids.HostID, operation string, body []byte) (outcome, error) {
+func (g *Group) callHost(ctx context.Context, h hingeids.HostID, op operation, body []byte) (outcome, error) {
 	if h == g.settings.Self && g.member != nil {
-		return g.handleLocal(ctx, operation, body), nil
+		if op == operationState {
+			return g.stateAsLeader(ctx), nil
+		}
+		return g.handleLocal(ctx, op, body), nil
 	}
-	b, err := g.link.Call(ctx, h, g.method(operation), body)
+	b, err := g.link.Call(ctx, h, g.method(op), body)
 	if err != nil {
 		return outcome{}, err
 	}
@@ -290,15 +204,15 @@
 	return o, nil
 }
 
-func (g *Group) method(name string) hingelink.Method {
-	return hingelink.Method(g.settings.Name + "." + name)
+func (g *Group) method(name operation) hingelink.Method {
+	return hingelink.Method(g.settings.Name + "." + string(name))
 }
 
 // The loop refuses proposals and reads unless this host leads.
-func (g *Group) handleLocal(ctx context.Context, operation string, body []byte) outcome {
+func (g *Group) handleLocal(ctx context.Context, op operation, body []byte) outcome {
 	answer := make(chan outcome, 1)
 	enqueued := g.enqueue(ctx, func(now time.Time) {
-		if operation == "read" {
+		if op == operationRead {
 			answer <- g.member.read(now)
 			return
 		}
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -3,7 +3,8 @@
 // places streams while it is the leader.
 //
 //  1. A change is accepted once a quorum of control hosts has it on disk.
-//  2. A read returns nothing older than what was accepted before it, or fails.
+//  2. A read returns nothing older than what was accepted before it, or fails. An operator's read is
+//     served at each control host that finds the leader, with the leader's copy if its own is older.
 //  3. The first start of the whole system bootstraps the group with the seeds; later a host joins the
 //     group that it finds through its seeds, with whatever its disk contains.
 package hingecontrol
@@ -140,6 +141,8 @@
 		OnRecords: c.mergeRecords,
 		Holds:     c.source.Holds,
 	}, c.link, o.Seeds)
+	c.group.ServeState(c.exportDocument)
+	c.group.SetContacts(c.contacts)
 	c.placer = hingeplacer.New(c, c, c.isPlacer, hingeclock.BootTime, o.QuotaParams)
 	c.placer.LimitRetries(o.RetryBudget)
 	c.placer.RegisterHandlers(c.link, c.options.Recorder)
@@ -282,7 +285,8 @@
 	return c.machine.Documents()
 }
 
-// Read waits until Documents is at least as new as any document accepted before the call (rule 2).
+// Read waits until Documents is at least as new as any document accepted before the call (rule 2). Unlike
+// ReadDocument it fails at once on a host that knows no leader, so that followers choose another one.
 func (c *Control) Read(ctx context.Context) error {
 	_, err := c.group.Read(ctx)
 	return err
--- a/internal/serve/hingecontrol/read.go
+++ b/internal/serve/hingecontrol/read.go
@@ -12,6 +12,7 @@
 	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
 
@@ -22,7 +23,7 @@
 const noConfiguration hingegroup.Reason = "noConfiguration"
 
 // ReadDocument returns a configuration that is at least as new as any that was accepted before the call
-// (rule 2). The error says why there is none.
+// (rule 2). If this host's own copy is older, it is the leader's. The error says why there is none.
 func (c *Control) ReadDocument(ctx context.Context) (*hingeversion.Document, error) {
 	d, err := c.readDocument(ctx)
 	now := hingeclock.BootTime()
@@ -37,16 +38,40 @@
 }
 
 func (c *Control) readDocument(ctx context.Context) (*hingeversion.Document, error) {
-	if err := c.Read(ctx); err != nil {
+	state, err := c.group.ReadState(ctx)
+	if err != nil {
 		return nil, err
 	}
-	d := c.Documents().Load()
+	m := hingeversion.New()
+	if err := m.Restore(state); err != nil {
+		return nil, err
+	}
+	d := m.Documents().Load()
 	if d.Version == 0 {
 		return nil, ErrNoConfiguration
 	}
 	return d, nil
 }
 
+// exportDocument returns the published configuration for readers on other hosts.
+func (c *Control) exportDocument() []byte {
+	b, err := c.machine.Documents().Load().Encode()
+	if err != nil {
+		// A number and a byte string can always be encoded.
+		panic(err)
+	}
+	return b
+}
+
+// contacts returns the control hosts that the follower knows.
+func (c *Control) contacts() []hingeids.HostID {
+	var out []hingeids.HostID
+	for _, x := range c.follower.State().Load().ControlHosts {
+		out = append(out, x.Host)
+	}
+	return out
+}
+
 // reasonOf returns the reason of a failed read.
 func reasonOf(err error) hingegroup.Reason {
 	if errors.Is(err, ErrNoConfiguration) {
@@ -96,11 +121,12 @@
 	}
 }
 
-// probe reads without returning the document. A group without a configuration can be read.
+// probe reads as an operator does. A group without a configuration can be read.
 func (c *Control) probe(ctx context.Context) error {
 	probeCtx, stop := context.WithTimeout(ctx, 2*electionTimeout)
 	defer stop()
-	return c.Read(probeCtx)
+	_, err := c.group.ReadState(probeCtx)
+	return err
 }
 
 // writeReadMetrics writes the metrics of reads in the Prometheus text format.
