hingegroup: a silent contact doesn't keep a host with a new disk outside

Callers: none at once; the host has no vote, so that the next lost disk, which is tolerated, leaves no quorum and the configuration can't be read.

Cause: a host that joins asked all the hosts that it knew, waited for every answer, and only then asked the leader that one of them had named, all within one limit of an election time. A contact that answers nothing (suspended, cut off, gone) used the whole of it, so that the leader was never asked for as long as that contact was silent and the leader was none of the known hosts. Found by looking for what else keeps a vote from coming back within the catch-up time.

Change: a leader is asked as soon as it is named. The fake link now refuses a call whose context is done, as the real one does; without that the test can't show the fault.

TestLostDiskJoinsBesideASilentContact: red before, the wiped host can't be read; green now.

--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -186,22 +185,34 @@
 	Leader hingeids.HostID `cbor:"2,keyasint,omitempty"`
 }
 
-// requestJoin requests to join from all known hosts and from the leaders that they name,
-// which may be none of the configured hosts. The leader adds this host as a learner.
+// requestJoin requests to join from all known hosts and, as soon as an answer names it, from the leader, which may be
+// none of the configured hosts. A silent host delays no other request. The leader adds this host as a learner.
 func (g *Group) requestJoin(ctx context.Context) {
 	callCtx, stop := context.WithTimeout(ctx, g.settings.ElectionTimeout)
 	defer stop()
 	self := g.Status().Self
-	contacted := g.knownHosts()
-	answers := g.requestJoinFrom(callCtx, self, contacted)
-	var others []hingeids.HostID
-	for _, a := range answers {
-		if a.Leader != "" && !slices.Contains(contacted, a.Leader) && !slices.Contains(others, a.Leader) {
-			others = append(others, a.Leader)
+	contacted := map[hingeids.HostID]bool{
+		g.settings.Self: true,
+	}
+	answers := make(chan joinAnswer)
+	pending := 0
+	contact := func(h hingeids.HostID) {
+		if h == "" || contacted[h] {
+			return
 		}
+		contacted[h] = true
+		pending++
+		go func() {
+			answers <- g.requestJoinFrom(callCtx, self, h)
+		}()
+	}
+	for _, h := range g.knownHosts() {
+		contact(h)
 	}
 	newest := hingeids.Incarnation(0)
-	for _, a := range append(answers, g.requestJoinFrom(callCtx, self, others)...) {
+	for ; pending > 0; pending-- {
+		a := <-answers
+		contact(a.Leader)
 		newest = max(newest, a.Newest)
 	}
 	if newest > self.Disk {
@@ -209,30 +220,15 @@
 	}
 }
 
-// requestJoinFrom sends a join request to each host and returns the answers that arrive.
-func (g *Group) requestJoinFrom(ctx context.Context, self hingelog.Member, hosts []hingeids.HostID) []joinAnswer {
-	answers := make(chan joinAnswer, len(hosts))
-	var calls sync.WaitGroup
-	for _, h := range hosts {
-		if h == g.settings.Self {
-			continue
-		}
-		calls.Go(func() {
-			var a joinAnswer
-			// A failed call is retried after membershipInterval. The log shows when
-			// this host is a member.
-			if b, err := g.link.Call(ctx, h, g.method("join"), encode(self)); err == nil && cbor.Unmarshal(b, &a) == nil {
-				answers <- a
-			}
-		})
-	}
-	calls.Wait()
-	close(answers)
-	var out []joinAnswer
-	for a := range answers {
-		out = append(out, a)
+// requestJoinFrom returns a zero answer if the call fails. It is retried after membershipInterval, and the log shows
+// when this host is a member.
+func (g *Group) requestJoinFrom(ctx context.Context, self hingelog.Member, h hingeids.HostID) joinAnswer {
+	var a joinAnswer
+	b, err := g.link.Call(ctx, h, g.method("join"), encode(self))
+	if err != nil || cbor.Unmarshal(b, &a) != nil {
+		return joinAnswer{}
 	}
-	return out
+	return a
 }
 
 // renewDisk implements rule 4.
--- a/internal/agreement/hingegroup/replace_test.go
+++ b/internal/agreement/hingegroup/replace_test.go
@@ -150,3 +150,38 @@
 		g.mustRead(t, 1)
 	})
 }
+
+// A host with a new disk must reach a leader that it was told of although another contact is silent. Otherwise it
+// has no vote for as long as that contact is silent, and the next loss leaves no quorum.
+func TestLostDiskJoinsBesideASilentContact(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		g.start("core-4", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+		time.Sleep(catchUpTime)
+		g.stopInOrder("core-2")
+		g.lead(t, "core-4")
+		g.network.Link("core-2")
+		g.network.Suspend("core-2")
+		g.wipe("core-1")
+		time.Sleep(contactTime)
+		g.mustRead(t, 1)
+	})
+}
+
+// lead restarts the leader until it is the wanted host.
+func (g *openGroup) lead(t *testing.T, wanted hingeids.HostID) {
+	t.Helper()
+	for range 20 {
+		leader := g.hosts["core-1"].group.Leader()
+		if leader == wanted {
+			return
+		}
+		if x := g.hosts[leader]; x != nil {
+			g.kill(leader)
+			time.Sleep(time.Second)
+			g.start(leader, x.disk, false)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	t.Fatalf("%s does not lead", wanted)
+}
--- a/internal/link/hingefake/fake.go
+++ b/internal/link/hingefake/fake.go
@@ -144,8 +144,8 @@
 	return l.datagrams[method]
 }
 
-// Call runs the peer's handler. If traffic to the peer is cut, the error is
-// NotRun. If traffic from the peer is cut, the handler runs, its response is
+// Call runs the peer's handler. If the context is done or traffic to the peer is cut, the
+// error is NotRun. If traffic from the peer is cut, the handler runs, its response is
 // lost and the error is MayHaveRun.
 func (l *Link) Call(
 	ctx context.Context, to hingeids.HostID, method hingelink.Method, body []byte,
@@ -155,6 +155,9 @@
 		return nil, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeLinkDown, 0,
 			eris.Errorf("host %s is unreachable", to))
 	}
+	if ctx.Err() != nil {
+		return nil, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeLinkDown, 0, ctx.Err())
+	}
 	if l.network.isSuspended(to) {
 		<-ctx.Done()
 		return nil, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeLinkDown, 0, ctx.Err())
