hingegroup: answers to reads show which hosts live and how long their logs are

A host that was never a member is sent no messages, so its configUnreadable line called hosts silent that had just refused its read, and knew no index of theirs. The answer to a read names the answering disk and the end of its log.

TestDiagnosisCountsAnswersToReads: red before (index unknown), green. go test of hingegroup, hingecontrol, hingespread: pass.

--- a/internal/agreement/hingegroup/diagnosis_test.go
+++ b/internal/agreement/hingegroup/diagnosis_test.go
@@ -232,3 +232,27 @@
 		})
 	})
 }
+
+// A host that was never a member is sent no messages. After a failed read it must still tell those that answer
+// from those that don't.
+func TestDiagnosisCountsAnswersToReads(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		g.kill("core-1")
+		g.kill("core-2")
+		time.Sleep(2 * time.Second)
+		g.startUnwritable("core-4", emptyDisk())
+		time.Sleep(2 * time.Second)
+		if _, err := g.readState("core-4"); err == nil {
+			t.Fatal("a read was answered without a quorum")
+		}
+		d := g.hosts["core-4"].group.Diagnose(time.Now())
+		found := false
+		for _, m := range d.Others {
+			found = found || m.Member.Host == "core-3" && m.State == Answering && m.LastIndex > 1
+		}
+		if !found {
+			t.Errorf("core-3 answered and isn't in %v", d)
+		}
+	})
+}
--- a/internal/agreement/hingegroup/propose.go
+++ b/internal/agreement/hingegroup/propose.go
@@ -26,6 +26,9 @@
 	Uncertain bool            `cbor:"3,keyasint,omitempty"`
 	Leader    hingeids.HostID `cbor:"4,keyasint,omitempty"`
 	Index     hingelog.Index  `cbor:"5,keyasint,omitempty"`
+	// Member is the answering host, and LastIndex the end of its log. A proposal's answer lacks both.
+	Member    hingelog.Member `cbor:"6,keyasint,omitzero"`
+	LastIndex hingelog.Index  `cbor:"7,keyasint,omitempty"`
 }
 
 type submission struct {
@@ -201,6 +204,9 @@
 	if err := cbor.Unmarshal(b, &o); err != nil {
 		return outcome{}, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerNotOurs, 0, err)
 	}
+	if o.Member.Host == h {
+		g.peers.hear(g.settings.Clock(), o.Member, o.LastIndex)
+	}
 	return o, nil
 }
 
@@ -240,9 +246,11 @@
 func (m *member) read(now time.Time) outcome {
 	at, ok := m.log.ReadIndex(now)
 	return outcome{
-		Refused: !ok,
-		Leader:  m.redirect(),
-		Index:   at,
+		Refused:   !ok,
+		Leader:    m.redirect(),
+		Index:     at,
+		Member:    m.self,
+		LastIndex: m.log.Status().LastIndex,
 	}
 }
 
