hingelink: a process that starts after its clock went back is accepted

What callers saw: a host whose clock was set back before its process started (or whose earlier process had started while the clock was ahead) was cut off from every peer that had heard the earlier process: calls refused as notRun, datagrams dropped without a trace, so that a voter was lost to the agreement. For configured peers, and for those that are called by the host but don't call it, this lasted until they restarted or the clock passed the earlier start.

Cause: processes are numbered by the time of day at their start, and a peer accepted only numbers that are not lower than the highest it had seen.

Why it works: a peer knows whether the earlier process is gone by its connections. An unknown instance with a lower number is accepted once no connection of the current one is open and the last one was closed by the end of the process (a close code of its own) or because nothing came for the idle timeout. A connection is probed once at a time, and only while two instances contend.

The guarantee of rule 5 stays and gets wider: instances are remembered in the order of their acceptance (the last 8 of a host), so a resumed process is rejected while its successor's connection lives even if the successor has the lower number. Not covered, as before: a resumed process with a higher number that the peer has never heard.

Weighed against it: numbers that don't come from the clock. A counter on disk isn't there for entry hosts and is lost with a disk; a random name with "the latest to connect wins" lets a resumed process that the peer doesn't know replace its successor for good; the age of the process by its steady clock in each message orders starts without waiting, but an age that is delayed by a suspension between its encoding and its sending orders two processes the wrong way round, and a process that lives shorter than its messages take shuts out its successor.

Rejections are recorded: 591 when they begin for a host, 592 with their count when another instance is accepted.

--- a/internal/link/hingelink/peer.go
+++ b/internal/link/hingelink/peer.go
@@ -20,8 +20,7 @@
 	address     *net.UDPAddr
 	cutOutgoing atomic.Bool
 	cutIncoming atomic.Bool
-	// latestIncarnation is the latest incarnation that a message was received from.
-	latestIncarnation atomic.Uint64
+	instances   instances
 	// lastUsed is the time of the last call or datagram to the peer, in nanoseconds
 	// of the link's clock.
 	lastUsed atomic.Int64
@@ -86,21 +85,6 @@
 	}
 }
 
-// acceptIncarnation reports whether a message of this incarnation is accepted,
-// and rejects earlier incarnations from then on. Rule 5: a process that resumes
-// after a suspension must not act for its host once a new process has started.
-func (p *peer) acceptIncarnation(i hingeids.Incarnation) bool {
-	for {
-		latest := p.latestIncarnation.Load()
-		if uint64(i) < latest {
-			return false
-		}
-		if p.latestIncarnation.CompareAndSwap(latest, uint64(i)) {
-			return true
-		}
-	}
-}
-
 // dialled is an outgoing connection with its own socket.
 type dialled struct {
 	conn      *quic.Conn
@@ -110,9 +94,9 @@
 
 // close closes the connection and its socket. It notifies the peer, which
 // otherwise would wait for the idle timeout.
-func (d *dialled) close() {
+func (d *dialled) close(code quic.ApplicationErrorCode) {
 	if d.conn != nil {
-		_ = d.conn.CloseWithError(0, "")
+		_ = d.conn.CloseWithError(code, "")
 	}
 	_ = d.transport.Close()
 	_ = d.socket.Close()
@@ -136,7 +120,7 @@
 	}
 	d.conn, err = d.transport.Dial(ctx, p.address, q.dialTLS(p.host), q.dialConfig())
 	if err != nil {
-		d.close()
+		d.close(0)
 		return nil, eris.Wrapf(err, "dial host %s at %s", p.host, p.address)
 	}
 	return d, nil
@@ -171,11 +155,18 @@
 // after the handshake. It is then redialled after a pause and recorded only once,
 // so that repeated rejections neither cause a busy loop nor evict other events.
 func (q *QUIC) serveConnection(ctx context.Context, p *peer, d *dialled, wasConnected bool) (lasted bool) {
-	defer d.close()
+	c := &connection{
+		conn: d.conn,
+	}
+	code := quic.ApplicationErrorCode(0)
+	defer func() {
+		p.instances.connectionClosed(q.clock(), c, closeCause(d.conn))
+		d.close(code)
+	}()
 	start := q.clock()
 	p.setConnection(d.conn, nil)
 	q.tasks.Go(func() {
-		q.serveDatagrams(p, d.conn)
+		q.serveDatagrams(p, c, d.conn)
 	})
 	unused := time.NewTicker(q.unusedTimeout / 4)
 	defer unused.Stop()
@@ -188,6 +179,7 @@
 				return true
 			}
 		case <-ctx.Done():
+			code = closedByProcessEnd
 			return true
 		}
 	}
--- a/internal/link/hingelink/quic.go
+++ b/internal/link/hingelink/quic.go
@@ -51,8 +51,8 @@
 type Config struct {
 	// Self is the ID of this host. Its certificate must have the same ID.
 	Self hingeids.HostID
-	// Incarnation is that of this process. Peers reject messages of an earlier
-	// incarnation of a host once they have received one of a later incarnation.
+	// Incarnation is that of this process. Peers accept messages of one instance of a
+	// host at a time. Rule 5.
 	Incarnation hingeids.Incarnation
 	// Listen is the UDP address to listen on, an IP address with a port.
 	Listen string
@@ -95,7 +95,16 @@
 //     the complete message was passed to QUIC, since a handler runs only for a
 //     complete message, and MayHaveRun from then on until the response arrives.
 //  5. A peer is identified by its certificate. Messages of hosts that aren't peers
-//     and of earlier incarnations than the latest seen run no handler.
+//     run no handler, and neither do those of any but the current instance of a
+//     host, so that a process that resumes after a suspension doesn't act while its
+//     successor lives. An instance replaces the current one if it was first accepted
+//     after it, or if it is unknown and has a higher number. Numbers are times of day,
+//     and a clock may have been set back, so an unknown one with a lower number
+//     replaces it too once no connection of the current one is open and the last was
+//     closed by the end of the process or since nothing was received on it for the
+//     idle timeout. Until then its messages make this host probe these connections.
+//     One that was replaced before has to wait until the current one has had no
+//     connection for the longest idle timeout.
 //  6. With an open membership, peers are added when they call or are called. One
 //     that wasn't called for unusedTimeout is removed: a host that was replaced at
 //     another address doesn't return to the old one, and keep-alives of a thousand
@@ -270,7 +279,7 @@
 func acceptConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:  dialTimeout,
-		MaxIdleTimeout:        idleFactor * MaxKeepAlive,
+		MaxIdleTimeout:        maxIdleTimeout,
 		MaxIncomingStreams:    maxConcurrentCalls,
 		MaxIncomingUniStreams: -1,
 		EnableDatagrams:       true,
--- a/internal/link/hingelink/serve.go
+++ b/internal/link/hingelink/serve.go
@@ -30,13 +30,19 @@
 // serve handles the calls and datagrams of one incoming connection until it is closed.
 func (q *QUIC) serve(ctx context.Context, p *peer, conn *quic.Conn) {
 	stop := context.AfterFunc(ctx, func() {
-		_ = conn.CloseWithError(0, "")
+		_ = conn.CloseWithError(closedByProcessEnd, "")
 	})
 	defer stop()
 	p.accepted.Store(conn)
 	defer p.accepted.CompareAndSwap(conn, nil)
+	c := &connection{
+		conn: conn,
+	}
+	defer func() {
+		p.instances.connectionClosed(q.clock(), c, closeCause(conn))
+	}()
 	q.tasks.Go(func() {
-		q.serveDatagrams(p, conn)
+		q.serveDatagrams(p, c, conn)
 	})
 	for {
 		s, err := conn.AcceptStream(conn.Context())
@@ -44,12 +50,12 @@
 			return
 		}
 		q.tasks.Go(func() {
-			q.serveCall(p, s)
+			q.serveCall(p, c, s)
 		})
 	}
 }
 
-func (q *QUIC) serveDatagrams(p *peer, conn *quic.Conn) {
+func (q *QUIC) serveDatagrams(p *peer, c *connection, conn *quic.Conn) {
 	for {
 		raw, err := conn.ReceiveDatagram(conn.Context())
 		if err != nil {
@@ -57,7 +63,7 @@
 		}
 		var header callHeader
 		body, err := decodeDatagram(raw, &header)
-		if err != nil || p.cutIncoming.Load() || !p.acceptIncarnation(header.Incarnation) {
+		if err != nil || p.cutIncoming.Load() || !q.acceptInstance(p, c, header.Incarnation) {
 			continue
 		}
 		q.observe(header.Stamp)
@@ -69,7 +75,7 @@
 
 // serveCall handles one call. The stream's context ends when the caller cancels
 // the call or the connection is lost.
-func (q *QUIC) serveCall(p *peer, s *quic.Stream) {
+func (q *QUIC) serveCall(p *peer, c *connection, s *quic.Stream) {
 	var header callHeader
 	reserved := int64(0)
 	defer func() {
@@ -86,7 +92,7 @@
 		cancelStream(s)
 		return
 	}
-	response, err := q.handleCall(s.Context(), p, header, body)
+	response, err := q.handleCall(s.Context(), p, c, header, body)
 	if p.cutOutgoing.Load() {
 		cancelStream(s)
 		return
@@ -94,9 +100,11 @@
 	q.writeResponse(s, response, err)
 }
 
-func (q *QUIC) handleCall(ctx context.Context, p *peer, header callHeader, body []byte) ([]byte, error) {
-	if !p.acceptIncarnation(header.Incarnation) {
-		return nil, notRun(eris.Errorf("caller is an earlier incarnation of host %s than the latest seen", p.host))
+func (q *QUIC) handleCall(
+	ctx context.Context, p *peer, c *connection, header callHeader, body []byte,
+) ([]byte, error) {
+	if !q.acceptInstance(p, c, header.Incarnation) {
+		return nil, notRun(eris.Errorf("caller is not the accepted instance of host %s, which is still connected", p.host))
 	}
 	q.observe(header.Stamp)
 	h := q.calls[header.Method]
--- a/internal/observe/hingeevents/ledger.go
+++ b/internal/observe/hingeevents/ledger.go
@@ -3,15 +3,17 @@
 // Events of the ledger of requests that must run at most once, and, from 590, of
 // the links between processes.
 const (
-	KeyClaimed        Number = 500
-	KeyUncertain      Number = 501
-	LedgerUnreachable Number = 502
-	LedgerFull        Number = 503
-	LedgerNoteDropped Number = 504
-	KeeperBegan       Number = 510
-	KeeperJournalTorn Number = 511
-	KeeperFailed      Number = 512
-	LinkLost          Number = 590
+	KeyClaimed           Number = 500
+	KeyUncertain         Number = 501
+	LedgerUnreachable    Number = 502
+	LedgerFull           Number = 503
+	LedgerNoteDropped    Number = 504
+	KeeperBegan          Number = 510
+	KeeperJournalTorn    Number = 511
+	KeeperFailed         Number = 512
+	LinkLost             Number = 590
+	LinkInstanceRejected Number = 591
+	LinkInstanceAccepted Number = 592
 )
 
 var ledgerEntries = []Entry{
@@ -74,4 +76,17 @@
 		Description: "The connection to another entry host was lost or could not be established; it is retried until it succeeds.",
 		Action:      "If it persists: check that the host runs, that UDP traffic passes between the two hosts, and that both certificates are valid and of the same authority.",
 	},
+	{
+		Number:      LinkInstanceRejected,
+		Name:        "linkInstanceRejected",
+		Severity:    Warning,
+		Description: "Messages of a host are rejected, since another instance of it is still connected or was until a moment ago; the event is recorded once until the current instance is replaced.",
+		Action:      "If no linkInstanceAccepted of the host follows within seconds: two processes run for the host; end the one that was started first.",
+	},
+	{
+		Number:      LinkInstanceAccepted,
+		Name:        "linkInstanceAccepted",
+		Severity:    Info,
+		Description: "Another instance of a host is accepted after messages were rejected; count is the number of those.",
+	},
 }
