hingelink: setting the wall clock cuts off no call and keeps no unused connection

What callers saw: when the time of day of a host was set forward by more than ten seconds, its link closed all connections that weren't used in that instant; calls that waited for their answers (long polls, placements) failed as mayHaveRun. Set back, it kept unused connections for as long as it was set back.

Cause: the last use of a peer was kept as a time of day (UnixNano has no monotonic part).

Evidence: TestUnusedConnectionsAfterClockStep, a clock whose time of day jumps by an hour while its monotonic readings go on. Before: the call failed, "Application error 0x0 (local)"; set back, the unused peer was still there after 5 s (timeout of the test's link: 1 s). After: the call is answered and the peer is removed, 3 of 3 runs with the race detector.

Why the fix works: the last use is the link's uptime, the difference of two readings, which go by the monotonic part.

--- a/internal/link/hingelink/open_test.go
+++ b/internal/link/hingelink/open_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -11,7 +13,7 @@
 )
 
 // openLink starts a link of an open membership whose host can be called as "seed".
-func openLink(t *testing.T, self hingeids.HostID, seed *QUIC) *QUIC {
+func openLink(t *testing.T, self hingeids.HostID, seed *QUIC, prepare ...func(*QUIC)) *QUIC {
 	t.Helper()
 	q, err := NewInsecure(hingeids.Instance{
 		Host:        self,
@@ -30,6 +32,9 @@
 	q.HandleCall("test.echo", func(_ context.Context, _ hingeids.HostID, body []byte) ([]byte, error) {
 		return body, nil
 	})
+	for _, f := range prepare {
+		f(q)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -65,6 +70,53 @@
 	}
 }
 
+// clockStep returns a clock whose time of day is ahead by step, while its monotonic readings aren't.
+func clockStep(step *atomic.Int64) func() time.Time {
+	// The layout of time.Time: with a monotonic reading, its first word has the seconds from bit 30 on.
+	return func() time.Time {
+		t := time.Now()
+		*(*uint64)(unsafe.Pointer(&t)) += uint64(step.Load()) << 30
+		return t
+	}
+}
+
+// Guards against calls that are cut off, since the connection counts as unused when the wall clock is set forward, and
+// against connections that are kept for as long as it was set back.
+func TestUnusedConnectionsAfterClockStep(t *testing.T) {
+	for _, hours := range []int64{1, -1} {
+		held := make(chan struct{})
+		seed := openLink(t, "seed", nil, func(q *QUIC) {
+			q.HandleCall("test.hold", func(context.Context, hingeids.HostID, []byte) ([]byte, error) {
+				<-held
+				return nil, nil
+			})
+		})
+		var step atomic.Int64
+		host := openLink(t, "host", seed, func(q *QUIC) {
+			q.clock = clockStep(&step)
+			q.created = q.clock()
+			q.unusedTimeout = time.Second
+		})
+		outcome := make(chan error, 1)
+		go func() {
+			_, err := host.Call(t.Context(), "seed", "test.hold", nil)
+			outcome <- err
+		}()
+		time.Sleep(300 * time.Millisecond)
+		step.Store(hours * 3600)
+		time.Sleep(400 * time.Millisecond)
+		close(held)
+		if err := <-outcome; err != nil {
+			t.Errorf("%d hours: the call failed: %v", hours, err)
+		}
+		for deadline := time.Now().Add(5 * time.Second); host.findPeer("seed") != nil; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d hours: the peer is still there 5s after its last call", hours)
+			}
+		}
+	}
+}
+
 // Guards against keep-alives that are too frequent for a host with a thousand connections, or so rare
 // that a connection whose packets are dropped goes unnoticed.
 func TestKeepAliveIsBounded(t *testing.T) {
--- a/internal/link/hingelink/peer.go
+++ b/internal/link/hingelink/peer.go
@@ -21,8 +21,7 @@
 	cutOutgoing atomic.Bool
 	cutIncoming atomic.Bool
 	instances   instances
-	// lastUsed is the time of the last call or datagram to the peer, in nanoseconds
-	// of the link's clock.
+	// lastUsed is the link's uptime in nanoseconds at the last call or datagram to the peer.
 	lastUsed atomic.Int64
 	// accepted is the latest connection that the peer opened to this host.
 	accepted atomic.Pointer[quic.Conn]
--- a/internal/link/hingelink/peers.go
+++ b/internal/link/hingelink/peers.go
@@ -11,6 +11,11 @@
 // removed. It is longer than the retry interval of callers.
 const unusedTimeout = 10 * time.Second
 
+// uptime returns the time since the link was created, which doesn't change when the wall clock is set.
+func (q *QUIC) uptime() time.Duration {
+	return q.clock().Sub(q.created)
+}
+
 // findPeer returns a known peer, or nil.
 func (q *QUIC) findPeer(host hingeids.HostID) *peer {
 	q.peersMu.RLock()
@@ -48,7 +53,7 @@
 	if p == nil {
 		return nil
 	}
-	p.lastUsed.Store(q.clock().UnixNano())
+	p.lastUsed.Store(int64(q.uptime()))
 	q.peersMu.RLock()
 	maintained := p.maintained
 	q.peersMu.RUnlock()
@@ -76,7 +81,7 @@
 	}
 	q.peersMu.Lock()
 	defer q.peersMu.Unlock()
-	if q.clock().UnixNano()-p.lastUsed.Load() < int64(q.unusedTimeout) {
+	if q.uptime()-time.Duration(p.lastUsed.Load()) < q.unusedTimeout {
 		return false
 	}
 	p.maintained = false
--- a/internal/link/hingelink/quic.go
+++ b/internal/link/hingelink/quic.go
@@ -114,6 +114,7 @@
 type QUIC struct {
 	config    Config
 	clock     func() time.Time
+	created   time.Time
 	serverTLS *tls.Config
 	socket    *net.UDPConn
 	transport *quic.Transport
@@ -178,6 +179,7 @@
 	if q.clock == nil {
 		q.clock = time.Now
 	}
+	q.created = q.clock()
 	q.serverTLS = q.acceptTLS()
 	if err := q.addPeers(); err != nil {
 		return nil, err
