hingeplacer: reports of a process that starts after its clock went back are applied

What callers saw: after an entry host was restarted with its clock set back, placers no longer counted its streams and ignored the outcomes and statements that it reported, so that engines got more streams than fit. It lasted until its clock passed the start of the earlier process (as long as the step) or the placer's process restarted; a change of leaders didn't end it.

Cause: the sequence numbers of reports began at the time of day, so that they would grow over restarts, and a placer ignored lower ones than it had seen.

Evidence: TestReportsOfProcessThatStartsAfterItsClockWentBack. Before: 3 streams of the earlier process counted after each report of the new one, 1 and 2 are right. After: 1 and 2, and a report out of order is still ignored.

Why the fix works: a report names its process, and sequence numbers are compared within one only. The names are only compared for equality; the link accepts messages of one process of a host at a time (rule 5 of hingelink).

--- a/internal/capacity/hingeplacer/messages.go
+++ b/internal/capacity/hingeplacer/messages.go
@@ -149,6 +149,8 @@
 	Completions []hingepoison.Completion `cbor:"9,keyasint,omitempty"`
 	// Statements are what servers have stated in answers to the owner, as far as the placer hasn't received it yet.
 	Statements []hingenotice.Statement `cbor:"10,keyasint,omitempty"`
+	// Instance is that of the owner's process. Sequence numbers its reports.
+	Instance uint64 `cbor:"11,keyasint"`
 	// statementsUpTo is the owner's number of changes up to which Statements has them.
 	statementsUpTo uint64
 }
--- a/internal/capacity/hingeplacer/owner.go
+++ b/internal/capacity/hingeplacer/owner.go
@@ -53,6 +53,10 @@
 	done       chan struct{}
 	dirty      chan struct{}
 
+	// instance distinguishes the reports of this process from those of earlier ones of the host. Only equality is
+	// compared: the wall clock may have been set back since those started.
+	instance uint64
+
 	mu       sync.Mutex
 	sequence uint64
 	streams  map[hingefleet.StreamID]*Stream
@@ -90,10 +94,8 @@
 		dirty:      make(chan struct{}, 1),
 		streams:    make(map[hingefleet.StreamID]*Stream),
 		waiters:    make(map[hingequeue.CallID]chan<- CallPlacement),
-		// Placers ignore reports with lower sequence numbers, so the numbers must increase across restarts of
-		// the process and of the machine.
-		sequence: uint64(time.Now().UnixNano()),
-		quotas:   newQuotaState(clock(), params),
+		instance:   uint64(time.Now().UnixNano()),
+		quotas:     newQuotaState(clock(), params),
 	}
 	link.HandleDatagram(methodPlaced, o.handlePlaced)
 	share := localShare{
@@ -381,6 +383,7 @@
 	defer o.mu.Unlock()
 	o.sequence++
 	r := report{
+		Instance: o.instance,
 		Sequence: o.sequence,
 		Streams:  make(map[hingeids.Service][]hingefleet.Progress),
 		Outcomes: o.outcomes,
--- a/internal/capacity/hingeplacer/placer.go
+++ b/internal/capacity/hingeplacer/placer.go
@@ -107,7 +107,7 @@
 
 	fleets         map[hingeids.Service]*fleet
 	pendingStreams map[hingefleet.StreamID]pendingRequest[Placement]
-	lastSequence   map[hingeids.HostID]uint64
+	lastReports    map[hingeids.HostID]reportNumber
 	// ledSince is when this host became the placer, zero while it isn't.
 	ledSince       time.Time
 	streamSchedule schedule
@@ -130,6 +130,11 @@
 	retryBudgets map[hingeids.Service]*hingeretry.Budget
 }
 
+type reportNumber struct {
+	instance uint64
+	sequence uint64
+}
+
 type pendingRequest[T any] struct {
 	answer func(T)
 	owner  hingeids.HostID
@@ -153,7 +158,7 @@
 		done:           make(chan struct{}),
 		fleets:         make(map[hingeids.Service]*fleet),
 		pendingStreams: make(map[hingefleet.StreamID]pendingRequest[Placement]),
-		lastSequence:   make(map[hingeids.HostID]uint64),
+		lastReports:    make(map[hingeids.HostID]reportNumber),
 		queues:         make(map[hingeids.Service]*hingequeue.Queue),
 		pendingCalls:   make(map[hingequeue.CallID]pendingRequest[CallPlacement]),
 		limiter:        hingequota.NewLimiter(params),
@@ -306,10 +311,15 @@
 func (p *Placer) handleReport(now time.Time, owner hingeids.HostID, r report) reportReply {
 	answer := p.handleUsage(now, owner, r)
 	p.handleCrashes(now, r)
-	if r.Sequence < p.lastSequence[owner] {
+	// The link orders the processes of a host.
+	last := p.lastReports[owner]
+	if r.Instance == last.instance && r.Sequence < last.sequence {
 		return answer
 	}
-	p.lastSequence[owner] = r.Sequence
+	p.lastReports[owner] = reportNumber{
+		instance: r.Instance,
+		sequence: r.Sequence,
+	}
 	p.handleStatements(now, r.Statements)
 	p.streamSchedule.changed = true
 	for s := range r.Streams {
--- a/internal/capacity/hingeplacer/placer_test.go
+++ b/internal/capacity/hingeplacer/placer_test.go
@@ -389,3 +389,46 @@
 		t.Fatalf("the slow engine got %d of 20 prompts, want at most 3", counts["a-slow-prefill"])
 	}
 }
+
+// Guards against an entry host whose reports a placer ignores, since the clock of the host was set back before its
+// process started: its streams would count as free memory of their engines.
+func TestReportsOfProcessThatStartsAfterItsClockWentBack(t *testing.T) {
+	p := New(fixedServers{}, nil, func() bool {
+		return true
+	}, time.Now, hingequota.DefaultParams)
+	newProcess := func() *Owner {
+		v := &clusterView{}
+		v.placers.Store(&[]hingeids.HostID{"control-1"})
+		return NewOwner("entry-1", hingefake.NewNetwork().Link("entry-1"), v, time.Now, nil, hingequota.DefaultParams)
+	}
+	reportOf := func(o *Owner, ids ...string) report {
+		for _, id := range ids {
+			o.StartStream(streamRequest(id), Placement{
+				Decode: "decode-1",
+			})
+		}
+		return o.nextReport("control-1")
+	}
+	before := newProcess()
+	// The clock is ahead by an hour.
+	before.sequence += uint64(time.Hour)
+	p.handleReport(time.Now(), "entry-1", reportOf(before, "1"))
+	p.handleReport(time.Now(), "entry-1", reportOf(before, "2", "3"))
+	after := newProcess()
+	first := reportOf(after, "4")
+	second := reportOf(after, "5")
+	for _, r := range []struct {
+		name string
+		report
+		streams int
+	}{
+		{name: "first report", report: first, streams: 1},
+		{name: "second report", report: second, streams: 2},
+		{name: "first report, out of order", report: first, streams: 2},
+	} {
+		p.handleReport(time.Now(), "entry-1", r.report)
+		if got := p.fleet("model").StreamCount(); got != r.streams {
+			t.Errorf("after the %s: %d streams, want %d", r.name, got, r.streams)
+		}
+	}
+}
