hingelog: former voters don't delay the election after a restart of all

Operators: no read and no change for up to 2.8 s after the last host's start, longer with more former voters; allowed are 3 s from the last fault on.

Cause: the committed index isn't kept on disk. After a restart of all a host that had given its vote away couldn't tell that this was committed, stood for election, won, committed its first entry, learnt that it is no voter and stepped down, one after the other.

Change: a member whose newest list has it without a vote stands for election two election times later than a voter. It still does, since its log may be the only one that can complete the change (script removed_but_needed).

--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -13,7 +13,9 @@
 //     part of another requests pre-votes. While it is refused, it retries after about
 //     a quarter of an election time. It increments its term only once a quorum would
 //     vote for it, so a host that was partitioned doesn't disrupt the others when it
-//     returns. A learner requests nothing, but knows no leader from then on.
+//     returns. A learner requests nothing, but knows no leader from then on. Neither does
+//     a former voter for two election times more, as it doesn't know after a restart
+//     whether the change that took its vote is committed.
 //  4. A voter grants one vote per term, stored on disk, to a candidate whose log is
 //     at least as up to date as its own.
 //  5. A voter ignores candidates for an election time after it received a message
--- a/internal/agreement/hingelog/election.go
+++ b/internal/agreement/hingelog/election.go
@@ -10,6 +10,15 @@
 	l.electionDeadline = now.Add(e + time.Duration(l.random.Int64N(int64(e))))
 }
 
+// formerVoterDelay lets the voters be elected first. A member whose newest list has it without a vote doesn't know
+// after a restart whether the list is committed: elected, it would learn that and step down again.
+func (l *Log) formerVoterDelay() time.Duration {
+	if l.currentMembers().HasVoter(l.settings.Self) {
+		return 0
+	}
+	return 2 * l.settings.ElectionTimeout
+}
+
 // The wait is shorter than the first one, since the others may have received the last
 // heartbeat slightly later or have become candidates at the same time, and pre-votes
 // don't disrupt them. Each voter adds a delay by its position, so that two voters
@@ -39,7 +48,7 @@
 	if now.Before(l.electionDeadline) || !l.checkedIn {
 		return
 	}
-	if !l.mayCampaign() {
+	if !l.mayCampaign() || now.Before(l.electionDeadline.Add(l.formerVoterDelay())) {
 		l.leader = Member{}
 		return
 	}
--- a/internal/agreement/hingelog/replace_test.go
+++ b/internal/agreement/hingelog/replace_test.go
@@ -60,3 +60,38 @@
 		}
 	}
 }
+
+// After a restart of all, hosts that gave their votes away must let the voters be elected: each of them would be
+// elected, learn that it is no voter and step down, while nobody can read.
+func TestFormerVotersDoNotDelayTheElection(t *testing.T) {
+	const bound = 2 * time.Second
+	for seed := range uint64(200) {
+		c := newClusterWithSpare(seed)
+		c.start(c.addNode(Member{
+			Host: "e",
+			Disk: 1,
+		}))
+		for _, h := range []hingeids.HostID{"c", "b", "a"} {
+			c.join()
+			c.run(time.Second)
+			c.cutOff(c.host(h))
+			c.run(3 * time.Second)
+			clear(c.cutLinks)
+			c.run(time.Second)
+			c.propose(c.activeLeader(), "kept")
+			c.run(200 * time.Millisecond)
+		}
+		for _, n := range c.nodes {
+			c.kill(n)
+		}
+		c.run(time.Second)
+		c.startAll()
+		start := c.now
+		for c.activeLeader() == nil && c.now-start < 10*time.Second && c.violation == "" {
+			c.run(simStep)
+		}
+		if took := c.now - start; took > bound || c.violation != "" {
+			t.Errorf("seed %d: leader after %v %s", seed, took, c.violation)
+		}
+	}
+}
