hingeproxy: a test of pauses no longer needs the replica to be in regular use

Nothing was sent in a pause.

Cause, an assumption of the test: that the replica which refuses gets requests all the time. A replica whose first answer is slow, as when its goroutine waits for a processor, is expected to stay slow and gets only a probe every three seconds (rules 1 and 5 of hingebalance), from any of three hosts. In four seconds that is one probe or two: the server sees either a host that it refuses or the one that it serves.

The check after four seconds is as it was. If one of the two kinds of hosts hasn't arrived by then, those hosts go on until one does, 20 s at most; nothing arriving fails as before. More than two requests in one pause now fail by themselves, where before only more than four in all did.

--- a/internal/path/hingeproxy/notice_test.go
+++ b/internal/path/hingeproxy/notice_test.go
@@ -164,6 +164,8 @@
 	var mu sync.Mutex
 	refusedAt := make(map[string]time.Time)
 	arrivals := make(map[string]int)
+	// inPause counts the arrivals in the present pause of each host.
+	inPause := make(map[string]int)
 	served := 0
 	var overloaded atomic.Bool
 	refuses := newStandin(t, "refuses", 0, func(_ int, q *http.Request, c net.Conn) bool {
@@ -179,8 +181,13 @@
 		}
 		if at, refused := refusedAt[host]; refused && time.Since(at) < pause {
 			arrivals[host]++
+			inPause[host]++
+			if inPause[host] > 2 {
+				t.Errorf("%s sent %d requests in one pause", host, inPause[host])
+			}
 		} else {
 			refusedAt[host] = time.Now()
+			inPause[host] = 0
 		}
 		refuseFor(c, pause.Seconds())
 		return true
@@ -196,8 +203,16 @@
 			t.Errorf("%s sent %d requests in its pauses", host, n)
 		}
 	}
-	if len(refusedAt) == 0 || served == 0 {
-		t.Errorf("%d hosts were refused, %d requests of another host served", len(refusedAt), served)
+	// After a slow answer, a replica gets only a probe every three seconds, from any host (rule 5 of hingebalance).
+	for deadline := time.Now().Add(20 * time.Second); len(refusedAt) == 0 || served == 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d hosts were refused, %d requests of another host served", len(refusedAt), served)
+		}
+		missing := hosts[:2]
+		if served == 0 {
+			missing = hosts[2:]
+		}
+		answers = append(answers, sendFor(missing, "/lookup/7", 10*time.Millisecond, time.Second)...)
 	}
 	for _, a := range answers {
 		if a.Status != http.StatusOK {
