--- a/internal/agreement/hingegroup/state_test.go
+++ b/internal/agreement/hingegroup/state_test.go
@@ -437,3 +437,82 @@
 	}
 	return func() {}
 }
+
+// If a failed write makes a host restart from its disk while a read takes the state, the older state must not be
+// returned.
+func TestStateFromBeforeARestartIsNotReturned(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		g.mustChange("core-1", 2)
+		time.Sleep(time.Second)
+		id := g.notLeading("")
+		x := g.hosts[id]
+		interrupted := false
+		x.group.ServeState(func() []byte {
+			if !interrupted {
+				interrupted = true
+				x.disk.full.Store(true)
+				g.mustChange(g.notLeading(id), 3)
+				time.Sleep(100 * time.Millisecond)
+				x.disk.full.Store(false)
+				for x.machine.Documents().Load().Version > 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			return x.machine.Snapshot()
+		})
+		if v, err := g.readState(id); err == nil && v < 2 {
+			t.Errorf("read version %d after version 2 was accepted", v)
+		}
+		if !interrupted {
+			t.Error("the read didn't use the local copy")
+		}
+		time.Sleep(time.Second)
+		g.mustReadState(id, 3)
+	})
+}
+
+// While no leader is known, reads must not multiply: each host asks each other one once for all reads of a moment.
+func TestReadsOfManyHostsWithoutLeaderStayFew(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		const hosts, reads = 25, 100
+		for i := len(seeds); i < hosts; i++ {
+			g.start(hingeids.HostID(fmt.Sprint("core-", i+1)), emptyDisk(), false)
+		}
+		g.mustChange("core-1", 1)
+		time.Sleep(5 * time.Second)
+		var lost []*openHost
+		for id := range g.voters("core-4") {
+			if len(lost) < 2 {
+				lost = append(lost, g.kill(id))
+			}
+		}
+		time.Sleep(3 * time.Second)
+		g.calls.setLatency(time.Millisecond)
+		before := g.calls.of("config.read") + g.calls.of("config.state")
+		var work sync.WaitGroup
+		for id := range g.hosts {
+			for range reads {
+				work.Go(func() {
+					if _, err := g.readState(id); err == nil {
+						t.Error("a read was answered without a quorum")
+					}
+				})
+			}
+		}
+		work.Wait()
+		n := g.calls.of("config.read") + g.calls.of("config.state") - before
+		t.Logf("%d reads made %d calls", reads*len(g.hosts), n)
+		if n > 2*hosts*hosts {
+			t.Errorf("%d reads at %d hosts made %d calls", reads*len(g.hosts), len(g.hosts), n)
+		}
+		g.calls.setLatency(0)
+		for _, x := range lost {
+			g.start(x.group.settings.Self, x.disk, false)
+		}
+		time.Sleep(contactTime)
+		for id := range g.hosts {
+			g.mustReadState(id, 1)
+		}
+	})
+}
