hingelog: hosts that don't know replacements of voters aren't sent one

Operators, while control hosts are updated one by one: two leaders, each with a lease, were possible.

Cause: a host of the version before ignores Members.Outgoing and acts by the new voters alone. If the entry that begins a replacement reaches only the leader and that host, the two elect by one list, the others by another.

Change: members say in their answers that they act by Outgoing.

Learners that don't answer are removed after five times the silence, 5 s at a catch-up time of 4 s: the voter of a lost host, which is a learner now before it is removed, is named to others as long as before.

--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -76,6 +76,7 @@
 
 // silenceTimeout is how long a voter may be silent before a ready learner gets its vote. A quarter of
 // CatchUp leaves the rest for the election of a leader, which counts the silence anew, and for slow disks.
+// It is two election times at least, so that an election alone doesn't make a voter look silent.
 // A returning voter is a learner with all entries at once, so that moving a vote too early costs little.
 func (s Settings) silenceTimeout() time.Duration {
 	return max(s.CatchUp/4, 2*s.ElectionTimeout)
--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -53,8 +53,8 @@
 }
 
 // Retire announces that this host is about to stop, and waits until its vote has moved to another host,
-// or until no other host can take it. A host that stops with a vote leaves the group with one loss less that
-// it survives, until the vote moves.
+// or until no other host can take it. Until the vote of a stopped host has moved, the group tolerates one
+// loss fewer.
 func (g *Group) Retire(ctx context.Context) {
 	if g.member == nil || !g.enqueue(ctx, func(now time.Time) {
 		g.member.log.Retire(now)
@@ -63,7 +63,10 @@
 	}
 	for {
 		changed := g.status.Changed()
-		if s := g.Status(); !s.Members.HasVoter(s.Self) && s.MembersCommitted || len(s.Members.Learners) == 0 && !s.Members.IsReplacing() {
+		s := g.Status()
+		hasMoved := !s.Members.HasVoter(s.Self) && s.MembersCommitted
+		cannotMove := len(s.Members.Learners) == 0 && !s.Members.IsReplacing()
+		if hasMoved || cannotMove {
 			return
 		}
 		select {
--- a/internal/agreement/hingelog/cluster_test.go
+++ b/internal/agreement/hingelog/cluster_test.go
@@ -14,14 +14,16 @@
 
 // The log is nil while the process isn't running.
 type node struct {
-	self           Member
-	log            *Log
-	disk           DurableState
-	clockRate      float64
-	frozen         bool
-	stateHash      uint64
-	appliedIndex   Index
-	appliedMembers Members
+	self      Member
+	log       *Log
+	disk      DurableState
+	clockRate float64
+	frozen    bool
+	// previousVersion means that the host doesn't know Members.Outgoing.
+	previousVersion bool
+	stateHash       uint64
+	appliedIndex    Index
+	appliedMembers  Members
 }
 
 type envelope struct {
@@ -194,6 +196,12 @@
 
 func (c *cluster) sendMessage(m Message) {
 	c.sent[m.Kind]++
+	if c.host(m.From.Host).previousVersion {
+		m.KnowsReplacing = false
+	}
+	if c.host(m.To.Host).previousVersion {
+		c.checkKnownEntries(m)
+	}
 	if len(m.Entries) > 0 {
 		c.messagesWithEntries++
 	}
@@ -217,6 +225,14 @@
 	}
 }
 
+func (c *cluster) checkKnownEntries(m Message) {
+	for _, e := range m.Entries {
+		if e.Members != nil && e.Members.IsReplacing() {
+			c.fail("%v, which doesn't know replacements, is sent one", m.To)
+		}
+	}
+}
+
 func (c *cluster) fail(format string, args ...any) {
 	if c.violation == "" {
 		c.violation = fmt.Sprintf("at %v: ", c.now) + fmt.Sprintf(format, args...)
--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -39,6 +39,8 @@
 //     entries: from the first on, a quorum needs a majority of the voters before and a
 //     majority of those after the replacement (Raft's joint consensus); the second,
 //     which any leader appends once the first is committed, leaves only the latter.
+//     Members that run a version without replacements aren't sent the first entry;
+//     while they are needed for a quorum, nothing is replaced.
 //  11. A learner counts toward no quorum until it has durably confirmed all committed
 //     entries and has answered the leader within an election time. Then the leader
 //     replaces the lost incarnation of its host by the learner. Only the Promoted event
@@ -54,7 +56,7 @@
 //     voters than that. Otherwise it replaces a voter that hasn't answered the leader
 //     for the silence timeout: a host that was replaced at another address never returns,
 //     and while it remains a voter the next loss would leave no quorum. The replaced voter
-//     becomes a learner, in case that it returns. A learner that doesn't
+//     becomes a learner, in case it returns. A learner that doesn't
 //     answer for long is removed; if it was removed wrongly, it requests to join
 //     again.
 //  14. A member that is about to stop says so in its answers. If it is a voter, the leader
--- a/internal/agreement/hingelog/log.go
+++ b/internal/agreement/hingelog/log.go
@@ -79,6 +79,8 @@
 	snapshotRetryAt time.Time
 	// retiringSince is when the member's answer said that it is about to stop; zero if it doesn't say so.
 	retiringSince time.Time
+	// knowsReplacing means that the member acts by Members.Outgoing.
+	knowsReplacing bool
 }
 
 // New creates a member from the state on its disk.
--- a/internal/agreement/hingelog/members.go
+++ b/internal/agreement/hingelog/members.go
@@ -34,6 +34,7 @@
 	ErrChangePending      = eris.New("the previous membership change is not committed yet")
 	ErrLearnerNotCaughtUp = eris.New("the learner has not confirmed all committed entries yet")
 	ErrLastVoter          = eris.New("cannot remove the last voter")
+	ErrPreviousVersion    = eris.New("too few members run a version that knows replacements of voters")
 	ErrUnknownMember      = eris.New("the host or disk is not a member of the group")
 )
 
@@ -156,9 +157,16 @@
 	next.Outgoing = slices.Clone(next.Voters)
 	next.Learners = without(next.Learners, c.Member)
 	next.Voters[i] = c.Member
+	if !l.knowsReplacing(c.Member) || !next.HasQuorum(l.knowsReplacing) {
+		return nil, ErrPreviousVersion
+	}
 	return &next, nil
 }
 
+func (l *Log) knowsReplacing(m Member) bool {
+	return m == l.settings.Self || l.progressOf(m).knowsReplacing
+}
+
 // membersAfterCompletion makes the outgoing voters learners, so that a host that returns with its disk
 // receives all entries again. A lost incarnation is removed.
 func membersAfterCompletion(next Members, outgoing []Member) *Members {
--- a/internal/agreement/hingelog/repair.go
+++ b/internal/agreement/hingelog/repair.go
@@ -10,8 +10,8 @@
 
 // lostLearnerFactor times the silence of rule 13 is the time without answers after
 // which a learner is removed. An unreachable learner costs only its messages, so it
-// is removed later than a voter, and rarely while its host restarts.
-const lostLearnerFactor = 15
+// is removed later than a voter is replaced, and rarely while its host restarts.
+const lostLearnerFactor = 5
 
 // repair implements rules 11 and 13 to 15.
 func (l *Log) repair(now time.Time) {
@@ -140,8 +140,8 @@
 	return voter != l.settings.Self && l.unansweredFor(now, voter) > l.settings.SilenceTimeout
 }
 
-// crowding is the lower the more evenly votes are spread over zones: the sum of the squares of the zones'
-// votes.
+// crowding returns the sum of the squares of the zones' votes, which is lowest if votes are spread evenly over
+// the zones.
 func (l *Log) crowding(voters []Member) int {
 	if l.settings.Zone == nil {
 		return len(voters)
--- a/internal/agreement/hingelog/replace_test.go
+++ b/internal/agreement/hingelog/replace_test.go
@@ -95,3 +95,36 @@
 		}
 	}
 }
+
+// While hosts are updated one by one, one that doesn't know replacements must not act by half of one: it could be
+// elected by the new voters alone, beside a leader of the others.
+func TestPreviousVersionGetsNoReplacement(t *testing.T) {
+	for _, old := range []hingeids.HostID{"a", "b", "c", "d"} {
+		c := newClusterWithSpare(1)
+		n := c.host(old)
+		n.previousVersion = true
+		// The leader starts again, so that it hasn't heard of the host's version.
+		l := c.activeLeader()
+		c.kill(l)
+		c.run(time.Second)
+		c.start(l)
+		c.run(2 * time.Second)
+		for _, h := range []hingeids.HostID{"a", "b", "c"} {
+			if c.host(h) != n {
+				c.cutOff(c.host(h))
+				break
+			}
+		}
+		c.run(4 * time.Second)
+		if old == "d" && c.members.HasVoter(n.self) {
+			t.Errorf("%s got a vote by a replacement", old)
+		}
+		c.recoverAndCheck()
+		n.previousVersion = false
+		c.run(time.Second)
+		c.recoverAndCheck()
+		if c.violation != "" {
+			t.Errorf("%s: %s", old, c.violation)
+		}
+	}
+}
--- a/internal/agreement/hingelog/replicate.go
+++ b/internal/agreement/hingelog/replicate.go
@@ -103,7 +103,7 @@
 			Term:  t,
 			Index: p.next - 1,
 		},
-		Entries:      l.batch(p.next),
+		Entries:      l.batch(p),
 		Commit:       l.commit,
 		SentAt:       int64(now.Sub(l.started)),
 		MatchIndexes: l.matches(),
@@ -112,13 +112,15 @@
 	l.send(m)
 }
 
-// A batch has at least one entry if there is any.
-func (l *Log) batch(from Index) []Entry {
-	out := l.entriesBetween(from, l.last().Index)
+// batch returns at least one entry if there is any that the member may receive: one that doesn't know
+// Members.Outgoing would act by the new voters alone.
+func (l *Log) batch(p *progress) []Entry {
+	out := l.entriesBetween(p.next, l.last().Index)
 	size := 0
 	for i, e := range out {
 		size += len(e.Data)
-		if size > maxAppendBytes && i > 0 {
+		tooLarge := size > maxAppendBytes && i > 0
+		if tooLarge || e.Members != nil && e.Members.IsReplacing() && !p.knowsReplacing {
 			return out[:i]
 		}
 	}
@@ -246,14 +248,19 @@
 		// resumes after them instead of probing one entry at a time.
 		at.Index = l.commit
 	}
+	l.respond(m, at, granted)
+}
+
+func (l *Log) respond(m Message, at Position, granted bool) {
 	l.send(Message{
-		Kind:     AppendResponse,
-		To:       m.From,
-		Term:     l.hardState.Term,
-		At:       at,
-		Granted:  granted,
-		SentAt:   m.SentAt,
-		Retiring: !l.retiringSince.IsZero(),
+		Kind:           AppendResponse,
+		To:             m.From,
+		Term:           l.hardState.Term,
+		At:             at,
+		Granted:        granted,
+		SentAt:         m.SentAt,
+		Retiring:       !l.retiringSince.IsZero(),
+		KnowsReplacing: true,
 	})
 }
 
@@ -262,6 +269,7 @@
 		return
 	}
 	p := l.progressOf(m.From)
+	p.knowsReplacing = m.KnowsReplacing
 	switch {
 	case !m.Retiring:
 		p.retiringSince = time.Time{}
--- a/internal/agreement/hingelog/snapshot.go
+++ b/internal/agreement/hingelog/snapshot.go
@@ -48,7 +48,8 @@
 		Term:   l.hardState.Term,
 		SentAt: int64(now.Sub(l.started)),
 	}
-	if !now.Before(p.snapshotRetryAt) {
+	mayReceive := p.knowsReplacing || !l.snapshot.Members.IsReplacing()
+	if !now.Before(p.snapshotRetryAt) && mayReceive {
 		s := l.snapshot
 		m.Snapshot = &s
 		m.MatchIndexes = l.matches()
@@ -92,13 +93,5 @@
 
 // The answer confirms no entries.
 func (l *Log) answerHeartbeat(m Message) {
-	l.send(Message{
-		Kind:     AppendResponse,
-		To:       m.From,
-		Term:     l.hardState.Term,
-		At:       l.last(),
-		Granted:  false,
-		SentAt:   m.SentAt,
-		Retiring: !l.retiringSince.IsZero(),
-	})
+	l.respond(m, l.last(), false)
 }
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -66,7 +66,7 @@
 	return true
 }
 
-// HasVoter reports whether the member is a voter.
+// HasVoter reports whether the member is a voter, also one that is being replaced.
 func (m Members) HasVoter(x Member) bool {
 	return slices.Contains(m.Voters, x) || slices.Contains(m.Outgoing, x)
 }
@@ -188,6 +188,8 @@
 	Round uint64 `cbor:"12,keyasint,omitempty"`
 	// Retiring is set in an AppendResponse if the sender is about to stop (rule 14).
 	Retiring bool `cbor:"13,keyasint,omitempty"`
+	// KnowsReplacing is set in an AppendResponse if the sender acts by Members.Outgoing (rule 10).
+	KnowsReplacing bool `cbor:"14,keyasint,omitempty"`
 }
 
 // EventKind is the kind of an event.
