hingegroup: a host restarted before the bootstrap doesn't prevent it

Operators: no configuration is ever accepted on a new system.

Cause: only the host whose name sorts first bootstrapped the group. If it was restarted before it had done so, its settings said that the first start is over, so that it only joined, and nobody else bootstrapped.

Change: the first host that doesn't only join bootstraps, still only if all report an empty disk, so that no second group can begin. A seed that is gone for good before the bootstrap still prevents it: the others can't know that it hasn't bootstrapped with some of them. That remains; it takes a loss within the first tenths of a second of a new system.

--- a/internal/agreement/hingegroup/bootstrap.go
+++ b/internal/agreement/hingegroup/bootstrap.go
@@ -17,19 +17,22 @@
 type diskState struct {
 	Member hingelog.Member `cbor:"1,keyasint"`
 	Empty  bool            `cbor:"2,keyasint"`
+	// JoinOnly is Settings.JoinOnly: the host doesn't bootstrap the group.
+	JoinOnly bool `cbor:"3,keyasint,omitempty"`
 }
 
 // tryBootstrap implements rule 3.
 func (g *Group) tryBootstrap(ctx context.Context) bool {
 	hosts := slices.Clone(g.settings.Hosts)
 	slices.Sort(hosts)
-	if g.settings.JoinOnly || len(hosts) == 0 || hosts[0] != g.settings.Self {
+	if g.settings.JoinOnly || len(hosts) == 0 {
 		return false
 	}
 	var voters []hingelog.Member
 	for _, h := range hosts {
 		state, err := g.queryDiskState(ctx, h)
-		if err != nil || !state.Empty {
+		// Only one host bootstraps: the first that may.
+		if err != nil || !state.Empty || h < g.settings.Self && !state.JoinOnly {
 			return false
 		}
 		voters = append(voters, state.Member)
@@ -69,6 +72,8 @@
 	return diskState{
 		Member: m.self,
 		Empty:  m.log.Status().LastIndex == 0,
+
+		JoinOnly: m.group.settings.JoinOnly,
 	}
 }
 
--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -10,7 +10,7 @@
 //     bounded queue for each peer. A message that finds the queue full is dropped;
 //     the log sends it again.
 //  3. A group is bootstrapped once, by the host whose name sorts first among those with
-//     a disk, and only if all of them report an empty disk. The bootstrap snapshot names
+//     a disk that don't only join, and only if all of them report an empty disk. The bootstrap snapshot names
 //     their disks as voters. Every host that has it sends it to the others until a
 //     leader is known. A host that lost its disk can't bootstrap a second group while
 //     any other disk still holds the first.
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -357,3 +357,35 @@
 		}
 	})
 }
+
+// A host that is restarted before the group was bootstrapped may only join from then on. Another one must bootstrap
+// the group, or no configuration is ever accepted.
+func TestHostRestartedBeforeTheBootstrap(t *testing.T) {
+	for _, restarted := range seeds {
+		synctest.Test(t, func(t *testing.T) {
+			g := &openGroup{
+				t:       t,
+				seeds:   seeds,
+				network: hingefake.NewNetwork(),
+				hosts:   make(map[hingeids.HostID]*openHost),
+			}
+			defer func() {
+				for id := range g.hosts {
+					g.kill(id)
+				}
+			}()
+			disk := g.start(restarted, &fillableDisk{memoryDisk: newMemoryDisk()}, true).disk
+			time.Sleep(50 * time.Millisecond)
+			g.kill(restarted)
+			for _, id := range seeds {
+				if id != restarted {
+					g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, true)
+				}
+			}
+			time.Sleep(time.Second)
+			g.start(restarted, disk, false)
+			time.Sleep(contactTime)
+			g.mustChange(restarted, 1)
+		})
+	}
+}
