hingeserver, swifthinge: addresses that a test has found free are free at once

Cause: the tests hold all sockets open until all ports are found and then close them. A process that another test starts in between has copies of these sockets until its program is loaded (close-on-exec acts then), so the ports stay in use for that long, all of them at the same time.

Why it works: starting a process takes syscall.ForkLock for writing until the program is loaded; the tests hold it for reading from the first opening to the last closing, so no process ever has copies. The same in cmd/swifthinge, whose scripts start processes in parallel.

--- a/cmd/swifthinge/main_test.go
+++ b/cmd/swifthinge/main_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,7 +75,11 @@
 	return strings.TrimSuffix(host, "-1")
 }
 
+// freeAddresses returns free addresses. No process is started meanwhile: it would have copies of the sockets until its
+// program is loaded, and the addresses would stay in use.
 func freeAddresses(n int) ([]string, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	var out []string
 	for range n {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/serve/hingeserver/fleet_test.go
+++ b/internal/serve/hingeserver/fleet_test.go
@@ -164,9 +164,7 @@
 	var peers []hingesettings.Peer
 	// Otherwise one fleet could bind a port that another has found free but doesn't use yet.
 	network := 16 + fleetCount.Add(1)%200
-	free := &addresses{
-		t: f.t,
-	}
+	free := newAddresses(f.t)
 	defer free.release()
 	for z, zone := range f.inventory.Zones {
 		for n, id := range zone.Hosts {
@@ -217,12 +215,21 @@
 }
 
 // addresses finds free addresses and keeps them open until all are found: the system may
-// return a closed one again.
+// return a closed one again. No process is started meanwhile: it would have copies of the
+// sockets until its program is loaded, and the addresses would stay in use after release.
 type addresses struct {
 	t    *testing.T
 	open []io.Closer
 }
 
+// newAddresses returns an addresses that must be released.
+func newAddresses(t *testing.T) *addresses {
+	syscall.ForkLock.RLock()
+	return &addresses{
+		t: t,
+	}
+}
+
 func (a *addresses) free(network, ip string) string {
 	a.t.Helper()
 	if network == "udp" {
@@ -245,6 +252,7 @@
 	for _, c := range a.open {
 		_ = c.Close()
 	}
+	syscall.ForkLock.RUnlock()
 }
 
 func (h *host) Write(p []byte) (int, error) {
