hingeserver: a test sends its call again while it is refused as not run

Seen: TestAKilledHostsCallIsNotRunAgain failed in 2 of 10 runs beside six busy processes, in a copy whose test process also starts /bin/true all the time: "waited 5s for the call to run: ran 0 times".

Cause, an assumption of the test: that the ledger has a leader once the configuration log has one and the servers are usable. A trace of such a run: the call ended after 674 ms with 503, "notRun (4001): ledger unreachable: ... group ledger has no reachable leader", Retry-After 2. That is what is promised; the test discarded the answer and waited for a run of a call that had ended.

The test now sends the call again while it is refused as not run, as a caller does. It still has to run within 5 s, and exactly once in the end.

--- a/internal/serve/hingeserver/once_test.go
+++ b/internal/serve/hingeserver/once_test.go
@@ -96,7 +96,10 @@
 	lost := make(chan struct{})
 	go func() {
 		defer close(lost)
-		f.call(f.order[1], http.MethodGet, "/viviers/lots/17", "k")
+		// It is refused as not run until the ledger has a leader.
+		for f.call(f.order[1], http.MethodGet, "/viviers/lots/17", "k").verdict == "notRun" && f.ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+		}
 	}()
 	f.await("the call to run", 5*time.Second, func() error {
 		if f.runs("k") != 1 {
