hingepoison: a lift by a host whose clock was ahead counts once

Cause: the list has the time of day of the lift, and "how long ago" is zero for a time in the future. Each evaluation then took the lift for one of this moment and dropped all crashes before it.

Evidence: TestLiftByHostWhoseClockWasAhead, a lift with the clock ahead by an hour, then three servers crash under the request. Before: not refused, not even suspect. After: refused, as with a clock that is right.

Why the fix works: a lift that seems to be in the future when the detector first sees it counts as made at that moment, once; the record's own time only names it. Others are handled as before. A new placer may drop the crashes that it was told before its first evaluation once more. The entries are bounded by the list and expire with the suspects.

--- a/internal/decide/hingepoison/detector.go
+++ b/internal/decide/hingepoison/detector.go
@@ -96,9 +96,17 @@
 	Wait time.Duration
 	// Blocked says that the request is refused by its record in the list.
 	Blocked bool
-	// Lifted says that an operator lifted the block, LiftedAgo how long ago.
+	// Lifted says that an operator lifted the block, LiftedAgo how long ago by this host's clock, and LiftedAt by the
+	// clock of the host that lifted it.
 	Lifted    bool
 	LiftedAgo time.Duration
+	LiftedAt  int64
+}
+
+// lift is when a block was lifted, first as the list has it, then by the detector's clock.
+type lift struct {
+	stated int64
+	at     time.Time
 }
 
 type suspect struct {
@@ -124,6 +132,8 @@
 	onServer map[hingeids.ServerID][]hingeids.Fingerprint
 	// recent holds the crashes within rateWindow, by service and server.
 	recent map[hingeids.Service]map[hingeids.ServerID]time.Time
+	// lifts are the lifts of blocks that seemed to be in the future when they became known.
+	lifts map[hingeids.Fingerprint]lift
 }
 
 // NewDetector returns a detector without reported crashes.
@@ -132,6 +142,7 @@
 		suspects: make(map[hingeids.Fingerprint]*suspect),
 		onServer: make(map[hingeids.ServerID][]hingeids.Fingerprint),
 		recent:   make(map[hingeids.Service]map[hingeids.ServerID]time.Time),
+		lifts:    make(map[hingeids.Fingerprint]lift),
 	}
 }
 
@@ -207,7 +218,7 @@
 	if l.Lifted {
 		d.HandleCompletion(now, Completion{
 			Fingerprint: fp,
-			Ago:         l.LiftedAgo,
+			Ago:         now.Sub(d.liftedAt(now, fp, l)),
 		})
 	}
 	s := d.suspects[fp]
@@ -229,6 +240,22 @@
 	}
 }
 
+// liftedAt returns when a block was lifted. If the clock of the host that lifted it was ahead of this one, it is when
+// this host first learned of it.
+func (d *Detector) liftedAt(now time.Time, fp hingeids.Fingerprint, l Listed) time.Time {
+	if x, found := d.lifts[fp]; found && x.stated == l.LiftedAt {
+		return x.at
+	}
+	if l.LiftedAgo > 0 {
+		return now.Add(-l.LiftedAgo)
+	}
+	d.lifts[fp] = lift{
+		stated: l.LiftedAt,
+		at:     now,
+	}
+	return now
+}
+
 // evidence returns the number of crashes that no other request explains, and the probability that they are a coincidence (rule 3).
 func (d *Detector) evidence(now time.Time, fp hingeids.Fingerprint, s *suspect, servers func() int) (int, float64) {
 	count, chance := 0, 1.0
@@ -345,6 +372,9 @@
 			d.forget(fp)
 		}
 	}
+	maps.DeleteFunc(d.lifts, func(_ hingeids.Fingerprint, x lift) bool {
+		return now.Sub(x.at) > suspectTTL
+	})
 	for _, r := range d.recent {
 		maps.DeleteFunc(r, func(_ hingeids.ServerID, at time.Time) bool {
 			return now.Sub(at) >= rateWindow
--- a/internal/decide/hingepoison/detector_test.go
+++ b/internal/decide/hingepoison/detector_test.go
@@ -225,6 +225,33 @@
 	}
 }
 
+// Guards against a request that crashes servers for as long as the clock of the host that lifted its block was ahead:
+// the block then seems to have been lifted a moment ago, each time.
+func TestLiftByHostWhoseClockWasAhead(t *testing.T) {
+	for _, ahead := range []time.Duration{0, time.Hour} {
+		d := NewDetector()
+		today := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		list := (&List{}).With(Lift(today.Add(ahead), 7))
+		now := begin
+		evaluate := func() Decision {
+			return d.Evaluate(now, 7, list.At(today.Add(now.Sub(begin)), 7), servers)
+		}
+		now = crashServers(d, now.Add(-2*time.Second), 7, 3)
+		if got := evaluate(); got.Refused {
+			t.Errorf("clock ahead by %v: refused after crashes before the lift: %+v", ahead, got)
+		}
+		now = now.Add(time.Minute)
+		for i := range 3 {
+			now = now.Add(time.Second)
+			d.HandleCrash(now, newCrash(7, fmt.Sprint("engine-new-", i), 100*time.Millisecond))
+			evaluate()
+		}
+		if got := evaluate(); !got.Refused {
+			t.Errorf("clock ahead by %v: after three new crashes: %+v", ahead, got)
+		}
+	}
+}
+
 func BenchmarkEvaluate(b *testing.B) {
 	k := NewDetector()
 	now := crashServers(k, begin, 7, 3, 8, 9, 10)
--- a/internal/decide/hingepoison/list.go
+++ b/internal/decide/hingepoison/list.go
@@ -96,6 +96,7 @@
 		return Listed{
 			Lifted:    true,
 			LiftedAgo: max(today.Sub(time.UnixMilli(r.Lifted)), 0),
+			LiftedAt:  r.Lifted,
 		}
 	}
 	return Listed{
