--- a/internal/agreement/hingegroup/state_test.go
+++ b/internal/agreement/hingegroup/state_test.go
@@ -313,6 +313,7 @@
 	random *rand.Rand
 	// pause is the time after the last fault within which the next one isn't to be borne.
 	pause    time.Duration
+	spares   int
 	mu       sync.Mutex
 	accepted hingeversion.Version
 	answered int
@@ -404,12 +405,16 @@
 	return seeds[d.random.IntN(len(seeds))]
 }
 
+func (d *drawnFaults) spare() hingeids.HostID {
+	return hingeids.HostID(fmt.Sprint("spare-", d.spares))
+}
+
 // fault plays one fault and returns what ends it.
 func (d *drawnFaults) fault() func() {
 	g := d.group
 	id := d.host()
 	d.pause = 0
-	switch d.random.IntN(5) {
+	switch d.random.IntN(6) {
 	case 0:
 		disk := g.kill(id).disk
 		g.start(id, disk, false)
@@ -434,6 +439,14 @@
 			g.network.Restore(id, other)
 			g.network.Restore(other, id)
 		}
+	case 5:
+		// A host beyond the voters comes at a new address, and the one before it leaves for good.
+		if d.spares > 0 {
+			g.kill(d.spare())
+			d.pause = catchUpTime
+		}
+		d.spares++
+		g.start(d.spare(), emptyDisk(), false)
 	}
 	return func() {}
 }
