hingeflight: sharing of queries stands once

hingefollow (reads of followers) and hingegroup (reads of operators, discovery of the leader) had the same sharing: a caller gets a run that started after its call. One type now; whether a run waits for the end of the one before it, or only for a while, is a field, so that both behave as before.

--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -11,6 +11,7 @@
 	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
+	"github.com/swifthinge/swifthinge/internal/core/hingeflight"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
@@ -69,6 +70,9 @@
 	// inboxSize is the capacity of the loop's inbox. When it is full, messages are dropped
 	// and repeated by the log, while proposals block their caller.
 	inboxSize = 4096
+	// maxSharedDelay is how long a query of other hosts waits for the one before it, which may wait for a
+	// silent host.
+	maxSharedDelay = 25 * time.Millisecond
 )
 
 // DefaultCatchUp is the default of Settings.CatchUp.
@@ -129,8 +133,8 @@
 	extraHosts  hingeboard.Cell[[]hingeids.HostID]
 	export      func() []byte
 	contacts    func() []hingeids.HostID
-	stateReads  shared[stateRead]
-	discoveries shared[discovery]
+	stateReads  hingeflight.Shared[stateRead]
+	discoveries hingeflight.Shared[discovery]
 	// reopens counts the restarts of the member from its disk (rule 8).
 	reopens atomic.Uint64
 	done    chan struct{}
@@ -146,6 +150,8 @@
 		inbox:    make(chan func(now time.Time), inboxSize),
 		done:     make(chan struct{}),
 	}
+	g.stateReads.MaxDelay = maxSharedDelay
+	g.discoveries.MaxDelay = maxSharedDelay
 	g.status.Store(&Status{})
 	if directory == nil {
 		return g, nil
--- a/internal/agreement/hingegroup/leader.go
+++ b/internal/agreement/hingegroup/leader.go
@@ -128,7 +128,7 @@
 // moment share one discovery. Discovery can be canceled without harm, but a proposal sent to an unresponsive
 // host may have run.
 func (g *Group) discoverLeader(ctx context.Context) discovery {
-	d, _ := g.discoveries.do(ctx, func() discovery {
+	d, _ := g.discoveries.Do(ctx, func() discovery {
 		limit := g.settings.ElectionTimeout
 		if g.member != nil {
 			// A member answers its operators within two election times, whether it finds a leader or not.
--- a/internal/agreement/hingegroup/state.go
+++ b/internal/agreement/hingegroup/state.go
@@ -36,7 +36,7 @@
 // ReadState returns a state at least as new as anything that was committed before the call, wherever this
 // host finds a leader (rule 9). The error carries a verdict.
 func (g *Group) ReadState(ctx context.Context) ([]byte, error) {
-	r, ok := g.stateReads.do(ctx, func() stateRead {
+	r, ok := g.stateReads.Do(ctx, func() stateRead {
 		// Callers wait about two election times. The reason must arrive before they give up.
 		runCtx, stop := context.WithTimeout(context.Background(), g.settings.ElectionTimeout*4/3)
 		defer stop()
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -12,6 +12,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
+	"github.com/swifthinge/swifthinge/internal/core/hingeflight"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
@@ -57,7 +58,9 @@
 	origin Origin
 	clock  func() time.Time
 	peers  Peers
-	reads  sharedRead
+	// reads lets followers share reads from the leader: after a start all of them request a confirmation at
+	// once, and each control host reads once a round trip.
+	reads hingeflight.Shared[bool]
 
 	mu         sync.Mutex
 	directory  *hingeannounce.Directory
