--- a/internal/agreement/hingegroup/diagnosis.go
+++ b/internal/agreement/hingegroup/diagnosis.go
@@ -19,8 +19,8 @@
 	Answering MemberState = "answering"
 	// Silent members weren't.
 	Silent MemberState = "silent"
-	// Replaced members are lost: their host runs with a newer disk, so their seat is empty.
-	Replaced MemberState = "empty, its host has a new disk"
+	// Replaced members are lost: their host runs with a newer disk, so nobody has their vote.
+	Replaced MemberState = "lost, its host has a new disk"
 	// Unobserved members weren't heard, but this host follows a leader, so they have no reason to send
 	// it messages.
 	Unobserved MemberState = "not observed"
@@ -147,9 +147,9 @@
 	return out
 }
 
-// Mender returns the host that would take the next empty seat: of the learners that answer the one whose
+// Successor returns the host that would get the next vote: of the learners that answer the one whose
 // log is longest, else a host that requests to join. It returns false if there is none.
-func (d Diagnosis) Mender() (MemberDiagnosis, bool) {
+func (d Diagnosis) Successor() (MemberDiagnosis, bool) {
 	for _, list := range [][]MemberDiagnosis{d.Learners, d.Others} {
 		best := -1
 		for i, m := range list {
@@ -208,11 +208,11 @@
 	case !d.HasQuorum:
 		return "no quorum answers: " + d.missing()
 	}
-	next, found := d.Mender()
+	next, found := d.Successor()
 	if !found {
 		return "a quorum answers"
 	}
-	return fmt.Sprintf("a quorum answers; next for an empty seat: %s at index %d", next.Member.Host, next.LastIndex)
+	return fmt.Sprintf("a quorum answers; next to get a vote: %s at index %d", next.Member.Host, next.LastIndex)
 }
 
 // missing names the voters that are needed back. Only they can restore a lost quorum: a learner gets a
--- a/internal/agreement/hingegroup/diagnosis_test.go
+++ b/internal/agreement/hingegroup/diagnosis_test.go
@@ -63,7 +63,7 @@
 			t.Errorf("%s is %q, want %q", d.Voters[i].Member.Host, got, want)
 		}
 	}
-	if m, found := d.Mender(); !found || m.Member.Host != "core-4" || m.LastIndex != 7 {
+	if m, found := d.Successor(); !found || m.Member.Host != "core-4" || m.LastIndex != 7 {
 		t.Errorf("mender %+v, %v", m, found)
 	}
 	for _, want := range []string{
@@ -111,7 +111,7 @@
 	if d.Suspect != "" || !d.HasQuorum {
 		t.Errorf("suspect %q, quorum %v", d.Suspect, d.HasQuorum)
 	}
-	if got, want := d.Advice(), "next for an empty seat: core-5 at index 2"; !strings.Contains(got, want) {
+	if got, want := d.Advice(), "next to get a vote: core-5 at index 2"; !strings.Contains(got, want) {
 		t.Errorf("advice %q lacks %q", got, want)
 	}
 	status.LeaseUntil = now
@@ -125,14 +125,14 @@
 	var p peers
 	start := time.Unix(1000, 0)
 	for i := range 10 * maxPeers {
-		p.hear(start.Add(time.Duration(i)*time.Second), numberedMember(hingeids.HostID(fmt.Sprint(i)), 1), 0)
+		p.record(start.Add(time.Duration(i)*time.Second), numberedMember(hingeids.HostID(fmt.Sprint(i)), 1), 0)
 	}
 	if n := len(p.all()); n != maxPeers {
 		t.Errorf("%d hosts are remembered, want %d", n, maxPeers)
 	}
 	var q peers
-	q.hear(start, numberedMember("core-1", 2), 5)
-	q.hear(start.Add(time.Second), numberedMember("core-1", 1), 9)
+	q.record(start, numberedMember("core-1", 2), 5)
+	q.record(start.Add(time.Second), numberedMember("core-1", 1), 9)
 	if x := q.all(); len(x) != 1 || x[0].Member.Disk != 2 || x[0].LastIndex != 5 {
 		t.Errorf("remembered %+v", x)
 	}
--- a/internal/agreement/hingegroup/handlers.go
+++ b/internal/agreement/hingegroup/handlers.go
@@ -33,7 +33,7 @@
 	g.link.HandleCall(g.method("join"), func(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
 		var x hingelog.Member
 		if err := cbor.Unmarshal(body, &x); err == nil && x.Host == from {
-			g.peers.hear(g.settings.Clock(), x, 0)
+			g.peers.record(g.settings.Clock(), x, 0)
 		}
 		return g.onJoin(ctx, from, body)
 	})
@@ -46,7 +46,7 @@
 	if err := cbor.Unmarshal(body, &m); err != nil || m.From.Host != from {
 		return
 	}
-	g.peers.hear(g.settings.Clock(), m.From, statedIndex(m))
+	g.peers.record(g.settings.Clock(), m.From, statedIndex(m))
 	select {
 	case g.inbox <- func(now time.Time) {
 		g.member.log.Step(now, m)
--- a/internal/agreement/hingegroup/peers.go
+++ b/internal/agreement/hingegroup/peers.go
@@ -29,7 +29,7 @@
 	heard map[hingeids.HostID]Peer
 }
 
-func (p *peers) hear(now time.Time, from hingelog.Member, last hingelog.Index) {
+func (p *peers) record(now time.Time, from hingelog.Member, last hingelog.Index) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.heard == nil {
--- a/internal/agreement/hingegroup/propose.go
+++ b/internal/agreement/hingegroup/propose.go
@@ -205,7 +205,7 @@
 		return outcome{}, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeAnswerNotOurs, 0, err)
 	}
 	if o.Member.Host == h {
-		g.peers.hear(g.settings.Clock(), o.Member, o.LastIndex)
+		g.peers.record(g.settings.Clock(), o.Member, o.LastIndex)
 	}
 	return o, nil
 }
