--- a/internal/agreement/hingegroup/diagnosis.go
+++ b/internal/agreement/hingegroup/diagnosis.go
@@ -218,22 +218,22 @@
 // missing names the voters that are needed back. Only they can restore a lost quorum: a learner gets a
 // vote by an entry that a quorum has accepted.
 func (d Diagnosis) missing() string {
-	var silent, empty []string
+	var silent, lost []string
 	for _, m := range slices.Concat(d.Voters, d.Outgoing) {
 		name := string(m.Member.Host)
 		switch {
 		case m.State == Silent && !slices.Contains(silent, name):
 			silent = append(silent, name)
-		case m.State == Replaced && !slices.Contains(empty, name):
-			empty = append(empty, name)
+		case m.State == Replaced && !slices.Contains(lost, name):
+			lost = append(empty, name)
 		}
 	}
 	text := "start again, with its disk, a voter of: " + strings.Join(silent, ", ")
 	if len(silent) == 0 {
 		text = "no voter is merely silent"
 	}
-	if len(empty) > 0 {
-		text += " (lost for good: " + strings.Join(empty, ", ") + ")"
+	if len(lost) > 0 {
+		text += " (lost for good: " + strings.Join(lost, ", ") + ")"
 	}
 	return text
 }
