--- a/internal/agreement/hingegroup/diagnosis.go
+++ b/internal/agreement/hingegroup/diagnosis.go
@@ -225,7 +225,7 @@
 		case m.State == Silent && !slices.Contains(silent, name):
 			silent = append(silent, name)
 		case m.State == Replaced && !slices.Contains(lost, name):
-			lost = append(empty, name)
+			lost = append(lost, name)
 		}
 	}
 	text := "start again, with its disk, a voter of: " + strings.Join(silent, ", ")
