hingelog: a lost voter's silence goes on counting when the leader changes

Cause: each leader counted the silence of a member from its own first message. While leaders change, or if the leader itself is the one that was lost, the count begins anew each time.

Change: leaders state in their messages how long members haven't answered; a host forgets that once it hears the member itself. A new leader counts on from there, and from the last message of the leader before it, but gives everyone two heartbeats for an answer first.

--- a/internal/agreement/hingelog/checkin.go
+++ b/internal/agreement/hingelog/checkin.go
@@ -10,6 +10,11 @@
 type peerState struct {
 	term  Term
 	index Index
+	// heardAt is when the member's last message arrived.
+	heardAt time.Time
+	// silentSince is since when the member hasn't answered, as leaders have stated it;
+	// zero if it has answered them, or was heard here since.
+	silentSince time.Time
 }
 
 // startCheckIn implements rule 12.
@@ -100,22 +105,27 @@
 	}
 }
 
-// recordPeerTerm records the highest term of a member's messages. Check-ins don't
-// count, as they are verified against it, nor do pre-votes, whose term the sender
-// hasn't adopted.
-func (l *Log) recordPeerTerm(m Message) {
-	if m.Kind == PreVote || m.Kind == PreVoteResponse || m.Kind == CheckIn {
-		return
-	}
+// recordPeer records that a member was heard, and the highest term of its messages.
+// Terms of check-ins don't count, as they are verified against it, nor do those of
+// pre-votes, which the sender hasn't adopted.
+func (l *Log) recordPeer(now time.Time, m Message) {
 	peer := l.peerStates[m.From]
-	peer.term = max(peer.term, m.Term)
+	peer.heardAt = now
+	peer.silentSince = time.Time{}
+	if m.Kind != PreVote && m.Kind != PreVoteResponse && m.Kind != CheckIn {
+		peer.term = max(peer.term, m.Term)
+	}
 	l.peerStates[m.From] = peer
 }
 
-func (l *Log) recordMatches(list []MatchIndex) {
+func (l *Log) recordMatches(now time.Time, list []MatchIndex) {
 	for _, x := range list {
 		peer := l.peerStates[x.Member]
 		peer.index = max(peer.index, x.Index)
+		peer.silentSince = time.Time{}
+		if x.Unanswered > 0 {
+			peer.silentSince = now.Add(-x.Unanswered)
+		}
 		l.peerStates[x.Member] = peer
 	}
 }
--- a/internal/agreement/hingelog/doc.go
+++ b/internal/agreement/hingelog/doc.go
@@ -55,7 +55,8 @@
 //     learner that holds all committed entries is promoted while there are fewer
 //     voters than that. Otherwise it replaces a voter that hasn't answered the leader
 //     for the silence timeout: a host that was replaced at another address never returns,
-//     and while it remains a voter the next loss would leave no quorum. The replaced voter
+//     and while it remains a voter the next loss would leave no quorum. Leaders state
+//     the silence in their messages, so that the next one continues to count. The replaced voter
 //     becomes a learner, in case it returns. A learner that doesn't
 //     answer for long is removed; if it was removed wrongly, it requests to join
 //     again.
--- a/internal/agreement/hingelog/election.go
+++ b/internal/agreement/hingelog/election.go
@@ -190,4 +190,20 @@
 		Kind: NoOp,
 	})
 	l.replicate(now)
+	l.continueSilences()
+}
+
+// continueSilences counts the silence of members from before this term. A leader that was lost is silent since
+// its last message.
+func (l *Log) continueSilences() {
+	for _, m := range l.others() {
+		peer := l.peerStates[m]
+		since := peer.silentSince
+		if m == l.previousLeader {
+			since = peer.heardAt
+		}
+		if !since.IsZero() {
+			l.progressOf(m).firstSentAt = since
+		}
+	}
 }
--- a/internal/agreement/hingelog/log.go
+++ b/internal/agreement/hingelog/log.go
@@ -36,9 +36,11 @@
 	commit  Index
 	applied Index
 
-	role             role
-	leader           Member
-	leaderLastSeen   time.Time
+	role           role
+	leader         Member
+	leaderLastSeen time.Time
+	// previousLeader is the member from which the last message of a leader arrived.
+	previousLeader   Member
 	electionDeadline time.Time
 	votes            map[Member]bool
 
@@ -140,7 +142,7 @@
 	if l.staleDisk || m.To != l.settings.Self {
 		return
 	}
-	l.recordPeerTerm(m)
+	l.recordPeer(now, m)
 	switch m.Kind {
 	case CheckIn:
 		l.onCheckIn(m)
--- a/internal/agreement/hingelog/repair.go
+++ b/internal/agreement/hingelog/repair.go
@@ -137,7 +137,9 @@
 	if !since.IsZero() && l.progressOf(learner).ackedSendTime.After(since) {
 		return true
 	}
-	return voter != l.settings.Self && l.unansweredFor(now, voter) > l.settings.SilenceTimeout
+	// A new leader gives each member the time for an answer.
+	mayHaveAnswered := now.Sub(l.leaderSince) >= 2*l.settings.HeartbeatInterval
+	return voter != l.settings.Self && mayHaveAnswered && l.unansweredFor(now, voter) > l.settings.SilenceTimeout
 }
 
 // crowding returns the sum of the squares of the zones' votes, which is lowest if votes are spread evenly over
@@ -176,7 +178,7 @@
 }
 
 // The time is counted from the first message to the member in this term at the
-// earliest.
+// earliest, or from before if the member was silent then.
 func (l *Log) unansweredFor(now time.Time, m Member) time.Duration {
 	p := l.progressOf(m)
 	switch {
--- a/internal/agreement/hingelog/replace_test.go
+++ b/internal/agreement/hingelog/replace_test.go
@@ -128,3 +128,32 @@
 		}
 	}
 }
+
+// While leaders change, the silence of a lost voter must go on counting. Otherwise its vote never moves, and the next
+// lost disk leaves no quorum.
+func TestLostVoteMovesAlthoughLeadersChange(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newClusterWithSpare(seed)
+		lost := c.nodes[seed%3]
+		c.propose(c.activeLeader(), "kept")
+		c.run(200 * time.Millisecond)
+		c.kill(lost)
+		for start := c.now; c.members.HasVoter(lost.self) && c.violation == ""; {
+			if c.now-start > 4*time.Second {
+				t.Errorf("seed %d: the lost host votes 4 s later: %v", seed, c.members)
+				break
+			}
+			// Each leader loses its lease before the silence timeout is over.
+			if l := c.activeLeader(); l != nil {
+				c.run(testSilence * 3 / 10)
+				c.cutOff(l)
+				c.run(2 * DefaultElectionTimeout)
+				clear(c.cutLinks)
+			}
+			c.run(simStep)
+		}
+		if c.violation != "" {
+			t.Errorf("seed %d: %s", seed, c.violation)
+		}
+	}
+}
--- a/internal/agreement/hingelog/replicate.go
+++ b/internal/agreement/hingelog/replicate.go
@@ -80,7 +80,7 @@
 
 func (l *Log) heartbeat(now time.Time) {
 	l.nextHeartbeatAt = now.Add(l.settings.HeartbeatInterval)
-	l.recordMatches(l.matches())
+	l.recordMatches(now, l.statedMatches(now))
 	for _, m := range l.others() {
 		l.sendAppend(now, m, l.progressOf(m))
 	}
@@ -106,7 +106,7 @@
 		Entries:      l.batch(p),
 		Commit:       l.commit,
 		SentAt:       int64(now.Sub(l.started)),
-		MatchIndexes: l.matches(),
+		MatchIndexes: l.statedMatches(now),
 	}
 	p.next += Index(len(m.Entries))
 	l.send(m)
@@ -145,6 +145,18 @@
 	return out
 }
 
+// statedMatches are the matches with the silence of members, so that the next leader doesn't count it anew
+// (rule 13).
+func (l *Log) statedMatches(now time.Time) []MatchIndex {
+	out := l.matches()
+	for i, x := range out {
+		if silence := l.unansweredFor(now, x.Member); x.Member != l.settings.Self && silence > 2*l.settings.HeartbeatInterval {
+			out[i].Unanswered = silence
+		}
+	}
+	return out
+}
+
 func (l *Log) onLeaderMessage(now time.Time, m Message) {
 	if m.Term < l.hardState.Term {
 		// The rejection informs the old leader of the later term.
@@ -160,8 +172,9 @@
 		l.addEvent(LeaderKnown, m.From)
 	}
 	l.leaderLastSeen = now
+	l.previousLeader = m.From
 	l.resetElection(now)
-	l.recordMatches(m.MatchIndexes)
+	l.recordMatches(now, m.MatchIndexes)
 	if m.Kind == InstallSnapshot {
 		l.onInstallSnapshot(m)
 		return
--- a/internal/agreement/hingelog/snapshot.go
+++ b/internal/agreement/hingelog/snapshot.go
@@ -52,7 +52,7 @@
 	if !now.Before(p.snapshotRetryAt) && mayReceive {
 		s := l.snapshot
 		m.Snapshot = &s
-		m.MatchIndexes = l.matches()
+		m.MatchIndexes = l.statedMatches(now)
 		p.snapshotRetryAt = now.Add(l.settings.ElectionTimeout)
 	}
 	// Without a snapshot the message is a heartbeat that confirms no entries.
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -165,6 +165,8 @@
 type MatchIndex struct {
 	Member Member `cbor:"1,keyasint"`
 	Index  Index  `cbor:"2,keyasint"`
+	// Unanswered is how long the member has left the leader's messages unanswered.
+	Unanswered time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Message is sent from one member to another. It may be lost, delayed or duplicated.
