hingegroup: a host that stops waits for a leader that takes its vote over

Operators: 503 for good, if another disk is lost while a control host hands its vote over and all others are killed, or if the leader goes with its disk.

Cause: the host gave up after 1 s, a constant, and ended just as the others came back. Its copy was the second of three that was left.

Change: without a leader the host waits for one, up to three quarters of the grace period of its settings; a leader that is known has four election times, since a lost one is noticed only after two.

A stop of all hosts at once with a standby takes up to the three quarters.

--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -52,25 +52,39 @@
 	}
 }
 
-// Retire announces that this host is about to stop, and waits until its vote has moved to another host,
-// or until no other host can take it. Until the vote of a stopped host has moved, the group tolerates one
-// loss fewer.
+// retirePatience is the number of election times within which a leader must move the vote of a host that stops. It
+// takes a heartbeat and two syncs at a quorum, but a leader that is lost is noticed only after two election times.
+const retirePatience = 4
+
+// Retire announces that this host is about to stop, and waits until its vote has moved to another host, until
+// no other host can take it, or until a leader hasn't moved it for retirePatience. Without a leader it waits for
+// one: if another disk is lost meanwhile, the next leader needs this host's copy. Until the vote of a stopped host
+// has moved, the group tolerates one loss fewer.
 func (g *Group) Retire(ctx context.Context) {
 	if g.member == nil || !g.enqueue(ctx, func(now time.Time) {
 		g.member.log.Retire(now)
 	}) {
 		return
 	}
+	ticker := time.NewTicker(g.settings.HeartbeatInterval)
+	defer ticker.Stop()
+	ledFor := time.Duration(0)
 	for {
 		changed := g.status.Changed()
 		s := g.Status()
 		hasMoved := !s.Members.HasVoter(s.Self) && s.MembersCommitted
 		cannotMove := len(s.Members.Learners) == 0 && !s.Members.IsReplacing()
-		if hasMoved || cannotMove {
+		if hasMoved || cannotMove || ledFor >= retirePatience*g.settings.ElectionTimeout {
 			return
 		}
 		select {
 		case <-changed:
+		case <-ticker.C:
+			if s.Leader.IsZero() {
+				ledFor = 0
+				continue
+			}
+			ledFor += g.settings.HeartbeatInterval
 		case <-ctx.Done():
 			return
 		case <-g.done:
--- a/internal/agreement/hingegroup/replace_test.go
+++ b/internal/agreement/hingegroup/replace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,9 +18,12 @@
 	contactTime = 3 * time.Second
 )
 
+// gracePeriod is the time that a host has to stop.
+const gracePeriod = 6 * time.Second
+
 // stopInOrder stops a host as SIGTERM does.
 func (g *openGroup) stopInOrder(id hingeids.HostID) {
-	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	ctx, stop := context.WithTimeout(context.Background(), gracePeriod)
 	defer stop()
 	g.hosts[id].group.Retire(ctx)
 	g.kill(id)
@@ -185,3 +189,49 @@
 	}
 	t.Fatalf("%s does not lead", wanted)
 }
+
+// While a host hands its vote over, another disk is lost and all others are killed. The host must wait for them, since
+// its copy may be the second of three that is left.
+func TestStoppingHostWaitsForALeader(t *testing.T) {
+	for _, stopped := range seeds {
+		for _, wiped := range seeds {
+			if wiped == stopped {
+				continue
+			}
+			for after := time.Duration(0); after < 200*time.Millisecond; after += 10 * time.Millisecond {
+				withOpenGroup(t, func(t *testing.T, g *openGroup) {
+					g.mustChange("core-1", 1)
+					g.start("core-4", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+					time.Sleep(catchUpTime)
+					stopping := make(chan struct{})
+					x := g.hosts[stopped]
+					go func() {
+						defer close(stopping)
+						ctx, stop := context.WithTimeout(context.Background(), gracePeriod)
+						defer stop()
+						x.group.Retire(ctx)
+					}()
+					time.Sleep(after)
+					disks := make(map[hingeids.HostID]*fillableDisk)
+					for _, id := range append(slices.Clone(seeds), "core-4") {
+						if id != stopped {
+							disks[id] = g.kill(id).disk
+						}
+					}
+					disks[wiped] = &fillableDisk{memoryDisk: newMemoryDisk()}
+					time.Sleep(1500 * time.Millisecond)
+					for id, disk := range disks {
+						g.start(id, disk, false)
+					}
+					<-stopping
+					g.kill(stopped)
+					time.Sleep(contactTime)
+					g.mustRead(t, 1)
+					if t.Failed() {
+						t.Fatalf("%s stops, %s is wiped %v later", stopped, wiped, after)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -53,6 +53,8 @@
 	// CatchUp is the time after which the loss of a replaced control host no longer counts; zero means
 	// hingegroup.DefaultCatchUp.
 	CatchUp time.Duration
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
 	// DataFolder is the folder for the host's persistent state.
 	DataFolder string
 	Parse      func(body []byte) (*hingeroutes.Table, error)
@@ -83,9 +85,6 @@
 	// maxOpenAttempts and openRetryDelay limit how long New waits for a disk that rejects writes.
 	maxOpenAttempts = 100
 	openRetryDelay  = 300 * time.Millisecond
-	// retireTimeout limits the wait for another host to take this host's vote, which takes a heartbeat and
-	// two syncs at a quorum.
-	retireTimeout = time.Second
 )
 
 // Control is a control host.
@@ -199,9 +198,10 @@
 	return c.done
 }
 
-// Retire hands this host's vote to a control host that is ready to take it, before this host stops.
+// Retire hands this host's vote to a control host that is ready to take it, before this host stops. It ends
+// well within the grace period.
 func (c *Control) Retire(ctx context.Context) {
-	retireCtx, stop := context.WithTimeout(ctx, retireTimeout)
+	retireCtx, stop := context.WithTimeout(ctx, c.options.Grace*3/4)
 	defer stop()
 	c.group.Retire(retireCtx)
 }
