hingeserver: tests send a change again while it is answered 503, and ask hosts with a disk for the leader

Three tests failed once each on a busy machine.

A change sent once gets its final answer (TestConcurrentOperatorChanges, TestHistoryAndValidationAfterSystemChanges). When the leader changes meanwhile, a change is answered 503 as not run or uncertain; the command then sends it again under its id, and the log answers an id that it has decided as the first time.

applyUntilAnswered sends a change again for up to 5 s, the time that one answer had before, while it is 503. What the tests demand in the end is unchanged: one 200, one 409, the same for resends, two changes in the history. The answers are logged. Shown to fail still: with the check of the expected revision off (two 200), and with answers to ids forgotten (409 three times).

A host without a disk names the leader (TestSuspendedLeaderDoesNotRevert). A leader that no longer leads would also be suspended in vain. leader() now takes the one that two of the three hosts with a disk name, which is stricter, also in the tests that kill the leader.

--- a/internal/serve/hingeserver/fleet_test.go
+++ b/internal/serve/hingeserver/fleet_test.go
@@ -144,7 +144,7 @@
 		}
 		f.dumpLogs()
 	})
-	f.leader(f.order[0])
+	f.leader()
 	return f
 }
 
@@ -370,6 +370,18 @@
 	return accepted, status, err
 }
 
+// applyUntilAnswered sends a change again under its id while it is answered 503, as the command does: an election, which
+// a busy machine can cause at any time, leaves a change refused or uncertain. The log answers an id that it has
+// decided as the first time.
+func (f *fleet) applyUntilAnswered(at hingeids.HostID, change hingeadmin.Change) (hingeadmin.AcceptedChange, int, error) {
+	for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		accepted, status, err := f.apply(at, change)
+		if status != http.StatusServiceUnavailable || time.Since(began) > 5*time.Second {
+			return accepted, status, err
+		}
+	}
+}
+
 const keepKeysPath = "rules/keepKeys"
 
 // change sets one rule on top of an expected revision.
@@ -474,19 +486,28 @@
 	return resp.StatusCode, json.Unmarshal(text, into)
 }
 
-// leader returns the leader of the configuration log as one host reports it, or an empty id.
-// leader waits until a host knows a leader: followers know none during an election, which a busy
-// machine can cause at any time.
-func (f *fleet) leader(seenBy hingeids.HostID) hingeids.HostID {
+// leader waits until two of the three hosts with a disk name the same leader of the configuration log. They know none
+// during an election, which a busy machine can cause at any time. A host without a disk knows only the leader that its own
+// last request found.
+func (f *fleet) leader() hingeids.HostID {
 	f.t.Helper()
 	var leader hingeids.HostID
 	f.await("a leader of the configuration log", 10*time.Second, func() error {
-		status, err := f.status(seenBy)
-		if err != nil || status.Leader == "" {
-			return fmt.Errorf("no leader (%v)", err)
+		named := make(map[hingeids.HostID]int)
+		for _, id := range f.order {
+			if f.hosts[id].settings.DataFolder == "" {
+				continue
+			}
+			status, err := f.status(id)
+			if err != nil || status.Leader == "" {
+				continue
+			}
+			if named[status.Leader]++; named[status.Leader] == 2 {
+				leader = status.Leader
+				return nil
+			}
 		}
-		leader = status.Leader
-		return nil
+		return fmt.Errorf("no leader, named: %v", named)
 	})
 	return leader
 }
--- a/internal/serve/hingeserver/orders_test.go
+++ b/internal/serve/hingeserver/orders_test.go
@@ -73,7 +73,7 @@
 	change(string(hingeannounce.Both))
 	awaitRole(string(hingeannounce.Both))
 
-	leader := f.leader(at)
+	leader := f.leader()
 	f.signal(leader, 19)
 	change(string(hingeannounce.Prefill))
 	awaitRole(string(hingeannounce.Prefill))
@@ -81,7 +81,7 @@
 	change(string(hingeannounce.Decode))
 	awaitRole(string(hingeannounce.Decode))
 
-	f.kill(f.leader(at))
+	f.kill(f.leader())
 	change(string(hingeannounce.Both))
 	awaitRole(string(hingeannounce.Both))
 	time.Sleep(2 * time.Second)
--- a/internal/serve/hingeserver/proofs_test.go
+++ b/internal/serve/hingeserver/proofs_test.go
@@ -20,7 +20,7 @@
 	elapsed := f.awaitChange(f.order[1], revision, 23*time.Hour)
 	t.Logf("the change was in force on 7 hosts after %v", elapsed)
 
-	leader := f.leader(f.order[1])
+	leader := f.leader()
 	f.kill(leader)
 	var rest []hingeids.HostID
 	for _, id := range f.order {
@@ -56,7 +56,7 @@
 func (f *fleet) awaitChange(at hingeids.HostID, expected hingeids.Revision, keepKeys time.Duration) time.Duration {
 	f.t.Helper()
 	began := time.Now()
-	accepted, code, err := f.apply(at, f.change(expected, keepKeys))
+	accepted, code, err := f.applyUntilAnswered(at, f.change(expected, keepKeys))
 	if code != http.StatusOK {
 		f.t.Fatalf("status %d, %v", code, err)
 	}
@@ -95,7 +95,7 @@
 			change = second
 		}
 		go func() {
-			accepted, code, err := f.apply(c.at, change)
+			accepted, code, err := f.applyUntilAnswered(c.at, change)
 			results <- result{
 				revision: accepted.Revision,
 				code:     code,
@@ -109,6 +109,7 @@
 		r := <-results
 		codes[r.code]++
 		won = max(won, r.revision)
+		t.Logf("status %d, revision %d, %v", r.code, r.revision, r.err)
 	}
 	if diff := cmp.Diff(map[int]int{http.StatusOK: 1, http.StatusConflict: 1}, codes); diff != "" {
 		t.Fatal(diff)
@@ -119,11 +120,12 @@
 		if c == 1 {
 			change = second
 		}
-		accepted, code, _ := f.apply(f.order[3], change)
+		accepted, code, err := f.applyUntilAnswered(f.order[3], change)
 		if code == http.StatusOK && accepted.Revision != won {
 			t.Errorf("the resend was accepted as revision %d, the first time as %d", accepted.Revision, won)
 		}
 		codes[code]++
+		t.Logf("resend: status %d, revision %d, %v", code, accepted.Revision, err)
 	}
 	if diff := cmp.Diff(map[int]int{http.StatusOK: 2, http.StatusConflict: 2}, codes); diff != "" {
 		t.Error(diff)
@@ -232,7 +234,7 @@
 	t.Parallel()
 	f := newFleet(t)
 	revision := f.configure()
-	leader := f.leader(f.order[1])
+	leader := f.leader()
 	f.signal(leader, 19)
 	other := f.order[1]
 	var accepted hingeids.Revision
