Known red: the status of hosts without a disk names a leader that is dead, or none

hingeadmin promises in Status.Leader the known leader of the configuration log, empty only without a quorum. A host without a disk answers with the leader of its own last request: after an election it names the former one, or none if that request was refused, for as long as it sends no other request.

It isn't mended here: where a host without a disk should learn of the leader is a decision about hingegroup. Changes and reads aren't affected, as they search for the leader.

--- a/internal/serve/hingeserver/proofs_test.go
+++ b/internal/serve/hingeserver/proofs_test.go
@@ -1,6 +1,8 @@
 package hingeserver
 
 import (
+	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -262,3 +264,32 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Guards against a status that names a dead leader, or none, at hosts without a disk that have sent no request since
+// the election.
+func TestStatusNamesTheLeaderAtEveryHost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure()
+	dead := f.leader()
+	f.kill(dead)
+	f.await("all hosts to name the next leader", 10*time.Second, func() error {
+		leader := f.leader()
+		if leader == dead {
+			return errors.New("no other leader yet")
+		}
+		for _, id := range f.order {
+			if id == dead {
+				continue
+			}
+			status, err := f.status(id)
+			if err != nil {
+				return err
+			}
+			if status.Leader != leader {
+				return fmt.Errorf("%s names %q as the leader, it is %s", id, status.Leader, leader)
+			}
+		}
+		return nil
+	})
+}
