hingesoak: losses of control hosts in series, replacements, cuts; the configuration is read back within the bound

Callers of the operator's API got 503 for good after a disk was lost 4 s (catchUpS) after the start of a replaced host's successor. The soak couldn't show it: a control host's fault waited until the last was mended, none was replaced or cut off, and the read at the end had 20 s.

The last fault follows an acknowledged change at once; then each control host is read, bound 3 s or 12 s. Reads are compared with what was sent, invalid changes are sent, and routes that were added are requested at entry hosts. Losses are drawn from a random source of their own: plans of other seeds are as before.

Cuts, two ways: a relay for the links' datagrams, or the link's Cut behind a debug setting. The relay: each process gets a link port of its own, which it takes for everyone's, so that the port names the sender and the product stays as it is.

--- a/cmd/swifthinge-soak/main.go
+++ b/cmd/swifthinge-soak/main.go
@@ -60,6 +60,10 @@
 				Name:  "needs",
 				Usage: "servers state rate limits, that they leave, and backoffs in their answers",
 			},
+			&cli.StringFlag{
+				Name:  "losses",
+				Usage: "lose, replace and cut off control hosts instead of their other faults: tolerable or overlapping",
+			},
 			&cli.DurationFlag{
 				Name:  "lasts",
 				Usage: "duration of fault injection per seed",
@@ -87,6 +91,7 @@
 			Duration:       c.Duration("lasts"),
 			PoisonRequests: c.Int("poison"),
 			Needs:          c.Bool("needs"),
+			Losses:         hingesoak.Losses(c.String("losses")),
 			Out:            os.Stdout,
 		})
 		if err != nil {
@@ -94,6 +99,9 @@
 		}
 		fmt.Printf("seed %d: requests %d, answered %d, refused %d, changes %d, faults %d, servers crashed %d, broken %d\n",
 			seed, r.Sent, r.Answered, r.Refused, r.Changes, r.Faults, r.Crashes, len(r.Violations))
+		if n := len(r.FinalReads); n > 0 {
+			fmt.Printf("seed %d: configuration read after the last loss: first after %v, from %d control hosts after %v\n", seed, r.FinalReads[0], n, r.FinalReads[n-1])
+		}
 		for _, b := range r.Violations {
 			broken = true
 			fmt.Printf("BROKEN %s at %v: request %q: %s\n", b.Guarantee, b.At, b.RequestID, b.Detail)
--- a/internal/soak/hingesoak/checker.go
+++ b/internal/soak/hingesoak/checker.go
@@ -45,7 +45,10 @@
 	// needs has the servers in need by name.
 	needs    map[string]*needRecord
 	accepted uint64
-	result   Report
+	// acceptances are in the order of their times; inForce is by the index of the entry host.
+	acceptances []acceptance
+	inForce     map[int]inForce
+	result      Report
 }
 
 func newChecker(startedAt time.Time) *checker {
@@ -54,6 +57,7 @@
 		requests:  make(map[string]*requestRecord),
 		poisons:   make(map[string]*poisonRecord),
 		needs:     make(map[string]*needRecord),
+		inForce:   make(map[int]inForce),
 	}
 }
 
@@ -187,7 +191,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.result.Changes++
-	c.accepted = max(c.accepted, v)
+	if v > c.accepted {
+		c.accepted = v
+		c.acceptances = append(c.acceptances, acceptance{
+			version: v,
+			at:      time.Now(),
+		})
+	}
+}
+
+// recordFinalRead records the time from the last fault to the first good read of a control host.
+func (c *checker) recordFinalRead(after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.result.FinalReads = append(c.result.FinalReads, after)
 }
 
 func (c *checker) newestVersion() uint64 {
--- a/internal/soak/hingesoak/fleet.go
+++ b/internal/soak/hingesoak/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -33,21 +34,37 @@
 	cmd     *exec.Cmd
 	started time.Time
 	exited  chan struct{}
+	// emptyAt is when a control host last had an empty disk.
+	emptyAt time.Time
 }
 
 type fleet struct {
-	options     Options
-	controls    []*process
-	entries     []*process
-	checker     *checker
+	options Options
+	entries []*process
+	checker *checker
+	// mu guards controls, which is replaced as a whole, and gone, the control hosts that don't return.
+	mu       sync.Mutex
+	controls []*process
+	gone     []*process
+	// swap is held while a control host is replaced.
+	swap       sync.Mutex
+	firstSeeds []hingeids.HostID
+	subnet     int
+	// linkPorts counts the processes with a link port of their own.
+	linkPorts   int
 	controlDown sync.Mutex
 	faults      sync.WaitGroup
+	// relay is nil without losses.
+	relay *relay
+	lost  lossCount
 }
 
 const (
 	zones = 3
 	// maxSeeds bounds the control hosts in the settings of a process.
 	maxSeeds = 3
+	// relayPort is below the link ports of the processes of a run with losses.
+	relayPort = 9000
 	// maxVoters is the number of control hosts that are voters; further ones are standbys.
 	maxVoters = 5
 )
@@ -58,55 +75,103 @@
 	subnet := 16 + os.Getpid()%200
 	x := &fleet{
 		options: o,
+		subnet:  subnet,
+		lost: lossCount{
+			until:  make([]time.Time, o.Controls),
+			active: make([]int, o.Controls),
+		},
+	}
+	if o.Losses != "" {
+		x.relay = newRelay()
 	}
-	var seeds []hingeids.HostID
 	for i := range min(o.Controls, maxSeeds) {
-		seeds = append(seeds, hingeids.HostID(fmt.Sprintf("127.%d.1.%d", subnet, i+1)))
+		x.firstSeeds = append(x.firstSeeds, hingeids.HostID(x.address(true, i+1)))
 	}
-	for i := range o.Controls + o.Entries {
-		control := i < o.Controls
-		group, n, name, role := 1, i+1, "control", "control"
-		if !control {
-			group, n, name, role = 2, i-o.Controls+1, "entry", "front"
-		}
-		ip := fmt.Sprintf("127.%d.%d.%d", subnet, group, n)
-		p := &process{
-			name: fmt.Sprintf("%s-%d", name, n),
-			role: role,
-			settings: hingeplatform.Settings{
-				IP:              ip,
-				Zone:            hingeids.Zone(fmt.Sprint("zone-", (n-1)%zones+1)),
-				CallerAddress:   ip + ":8144",
-				ReadyAddress:    ip + ":8140",
-				ControlAddress:  ip + ":8146",
-				LinkPort:        7660,
-				MetricsPort:     7675,
-				Seeds:           seeds,
-				FirstStart:      true,
-				MaxDiskFailures: max((min(o.Controls, maxVoters)-1)/2, 1),
-				Grace:           8 * time.Second,
-				RetryBudget: hingeretry.FleetLimits{
-					PerRequest: 0.2,
-					Burst:      50,
-					Window:     10 * time.Second,
-				},
-			},
-		}
-		if control {
-			p.settings.DataFolder = filepath.Join(o.Folder, p.name+".data")
-			x.controls = append(x.controls, p)
-			continue
-		}
-		x.entries = append(x.entries, p)
+	for i := range o.Controls {
+		x.controls = append(x.controls, x.newProcess(true, i+1, zoneOf(i)))
+	}
+	for i := range o.Entries {
+		x.entries = append(x.entries, x.newProcess(false, i+1, zoneOf(i)))
 	}
 	return x
 }
 
+func zoneOf(i int) hingeids.Zone {
+	return hingeids.Zone(fmt.Sprint("zone-", i%zones+1))
+}
+
+func (x *fleet) address(control bool, n int) string {
+	group := 2
+	if control {
+		group = 1
+	}
+	return fmt.Sprintf("127.%d.%d.%d", x.subnet, group, n)
+}
+
+// newProcess returns the nth control or entry host, counted from one.
+func (x *fleet) newProcess(control bool, n int, zone hingeids.Zone) *process {
+	ip := x.address(control, n)
+	p := &process{
+		name: fmt.Sprint("entry-", n),
+		role: "front",
+		settings: hingeplatform.Settings{
+			IP:              ip,
+			Zone:            zone,
+			CallerAddress:   ip + ":8144",
+			ReadyAddress:    ip + ":8140",
+			ControlAddress:  ip + ":8146",
+			LinkPort:        7660,
+			MetricsPort:     7675,
+			Seeds:           x.firstSeeds,
+			FirstStart:      true,
+			MaxDiskFailures: maxLost(x.options),
+			CatchUp:         catchUp,
+			Grace:           8 * time.Second,
+			RetryBudget: hingeretry.FleetLimits{
+				PerRequest: 0.2,
+				Burst:      50,
+				Window:     10 * time.Second,
+			},
+		},
+	}
+	if control {
+		p.name, p.role = fmt.Sprint("control-", n), "control"
+		p.settings.DataFolder = filepath.Join(x.options.Folder, p.name+".data")
+	}
+	if x.relay != nil {
+		x.linkPorts++
+		p.settings.LinkPort = relayPort + x.linkPorts
+	}
+	return p
+}
+
+// controlHosts returns the control hosts that are to run.
+func (x *fleet) controlHosts() []*process {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.controls
+}
+
+// replaced returns the control hosts that don't return.
+func (x *fleet) replaced() []*process {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.gone
+}
+
 func (x *fleet) all() []*process {
-	return append(append([]*process(nil), x.controls...), x.entries...)
+	return slices.Concat(x.controlHosts(), x.entries)
 }
 
 func (x *fleet) startAll() error {
+	for _, p := range x.all() {
+		if x.relay == nil {
+			break
+		}
+		if err := x.relay.add(p); err != nil {
+			return err
+		}
+	}
 	for _, p := range x.all() {
 		if err := x.start(p); err != nil {
 			return err
@@ -186,7 +251,10 @@
 // killAll kills all processes of the fleet (rule 4).
 func (x *fleet) killAll() {
 	x.faults.Wait()
-	for _, p := range x.all() {
+	if x.relay != nil {
+		defer x.relay.close()
+	}
+	for _, p := range slices.Concat(x.all(), x.replaced()) {
 		if p.cmd == nil {
 			continue
 		}
--- a/internal/soak/hingesoak/needs.go
+++ b/internal/soak/hingesoak/needs.go
@@ -194,6 +194,9 @@
 func (c *checker) recordHostFault(entry int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.inForce[entry] = inForce{
+		faultAt: time.Now(),
+	}
 	for _, n := range c.needs {
 		delete(n.toldAt, entry)
 		delete(n.pauses, entry)
--- a/internal/soak/hingesoak/plan.go
+++ b/internal/soak/hingesoak/plan.go
@@ -36,6 +36,7 @@
 	mode     mode
 	// limit is the rate limit that a server names.
 	limit hingeids.RequestsPerSecond
+	loss
 }
 
 func (f fault) String() string {
@@ -43,6 +44,9 @@
 	if f.control {
 		host = "control"
 	}
+	if f.seeds != "" {
+		return f.lossString()
+	}
 	switch f.kind {
 	case limit:
 		return fmt.Sprintf("server %d names a limit of %v/s for %v", f.index, f.limit, f.duration)
@@ -109,7 +113,7 @@
 	if !x.controlDown.TryLock() {
 		return
 	}
-	p := x.controls[f.index]
+	p := x.controlHosts()[f.index]
 	x.injectProcess(p, f)
 	x.faults.Go(func() {
 		defer x.controlDown.Unlock()
@@ -133,37 +137,43 @@
 // injectProcess applies a fault to one process in the background.
 func (x *fleet) injectProcess(p *process, f fault) {
 	x.faults.Go(func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if !f.control {
-			defer x.checker.recordHostFault(f.index)
+		x.applyFault(p, f)
+	})
+}
+
+// applyFault applies a fault to one process and returns after its end.
+func (x *fleet) applyFault(p *process, f fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !f.control {
+		defer x.checker.recordHostFault(f.index)
+	}
+	switch f.kind {
+	case hup:
+		time.Sleep(time.Until(p.started.Add(signalDelay)))
+		p.signal(syscall.SIGHUP)
+	case freeze:
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(f.duration)
+		p.signal(syscall.SIGCONT)
+	case term:
+		time.Sleep(time.Until(p.started.Add(signalDelay)))
+		p.signal(syscall.SIGTERM)
+		if !p.wait(p.settings.Grace) {
+			x.checker.recordViolation("a process exits within its grace period", "", p.name)
 		}
-		switch f.kind {
-		case hup:
-			time.Sleep(time.Until(p.started.Add(signalDelay)))
-			p.signal(syscall.SIGHUP)
-		case freeze:
-			p.signal(syscall.SIGSTOP)
-			time.Sleep(f.duration)
-			p.signal(syscall.SIGCONT)
-		case term:
-			time.Sleep(time.Until(p.started.Add(signalDelay)))
-			p.signal(syscall.SIGTERM)
-			if !p.wait(p.settings.Grace) {
-				x.checker.recordViolation("a process exits within its grace period", "", p.name)
-			}
-			x.restart(p)
-		default:
-			p.signal(syscall.SIGKILL)
-			p.wait(time.Second)
-			if f.kind == wipe {
-				// After a failed removal the host restarts with its old data.
-				_ = os.RemoveAll(p.settings.DataFolder)
-			}
-			time.Sleep(f.duration)
-			x.restart(p)
+		x.restartWith(p, f.seeds)
+	default:
+		p.signal(syscall.SIGKILL)
+		p.wait(time.Second)
+		if f.kind == wipe {
+			p.emptyAt = time.Now()
+			// After a failed removal the host restarts with its old data.
+			_ = os.RemoveAll(p.settings.DataFolder)
 		}
-	})
+		time.Sleep(f.duration)
+		x.restartWith(p, f.seeds)
+	}
 }
 
 func (x *fleet) killAllControls() {
@@ -172,11 +182,11 @@
 	}
 	x.faults.Go(func() {
 		defer x.controlDown.Unlock()
-		for _, p := range x.controls {
+		for _, p := range x.controlHosts() {
 			p.mu.Lock()
 			p.signal(syscall.SIGKILL)
 		}
-		for _, p := range x.controls {
+		for _, p := range x.controlHosts() {
 			p.wait(time.Second)
 			x.restart(p)
 			p.mu.Unlock()
--- a/internal/soak/hingesoak/poison.go
+++ b/internal/soak/hingesoak/poison.go
@@ -128,7 +128,7 @@
 		}
 	}
 	want := len(s.checker.detectable())
-	for _, p := range s.fleet.controls {
+	for _, p := range s.fleet.controlHosts() {
 		n := 0
 		if !waitFor(ctx, recoveryTimeout, func() bool {
 			fingerprints, ok := listedFingerprints(ctx, p)
@@ -144,9 +144,9 @@
 }
 
 func (s *soak) checkLift(ctx context.Context) {
-	fingerprints, _ := listedFingerprints(ctx, s.fleet.controls[0])
+	fingerprints, _ := listedFingerprints(ctx, s.fleet.controlHosts()[0])
 	for _, fingerprint := range fingerprints {
-		if status, _, err := call(ctx, metricsAddress(s.fleet.controls[0]), hingeplatform.Call{
+		if status, _, err := call(ctx, metricsAddress(s.fleet.controlHosts()[0]), hingeplatform.Call{
 			Method: http.MethodDelete,
 			Path:   poisonListPath + "/" + fingerprint,
 		}); err != nil || status != http.StatusOK {
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -103,7 +103,8 @@
 			continue
 		}
 		c := wire.Heartbeat(x.name(), x.service(), x.proxy.address(), "zone-1", x.stage, x.seq.Add(1))
-		status, _, err := call(ctx, f.controls[hostIndex%len(f.controls)].settings.ControlAddress, c)
+		controls := f.controlHosts()
+		status, _, err := call(ctx, controls[hostIndex%len(controls)].settings.ControlAddress, c)
 		if err != nil || status != http.StatusOK {
 			hostIndex++
 			continue
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -5,17 +5,24 @@
 //  1. The plan of faults is generated from a seed and the numbers of hosts, and printed,
 //     so that a run can be repeated. Scheduling on the machine is not reproduced.
 //  2. Faults overlap, within what three control hosts tolerate: either one control host
-//     fails at a time, or all are killed at once and keep their data.
+//     fails at a time, or all are killed at once and keep their data. Losses
+//     (rules 9 and 10) replace these faults of control hosts.
 //  3. Callers keep their connections open until the process at the other end exits.
 //  4. Only processes that the run started are signalled, by process id.
 //  5. Guarantees are checked by what callers, stand-ins and operators observe, not by logs.
 //  6. Connections to backend servers pass a proxy, which delays, resets, blocks (in one
 //     direction) or silences them. Links between the processes are affected only by
-//     signals to the processes.
+//     signals to the processes, and with losses by a relay that all their datagrams pass.
 //  7. A poison request crashes each server that runs it. The server restarts after a
 //     delay under another name. The request is resent to any entry host under a new id.
 //  8. Servers in need state it in their answers for a while. An entry host that has received such an answer obeys it,
 //     whatever happens to other processes, until it is restarted or suspended itself.
+//  9. Tolerable losses leave no more control hosts lost at a time than the settings say; a host counts as lost while a
+//     fault is in progress there, and for the catch-up time after its start or its return. The next loss begins as soon as it is
+//     tolerated. All control hosts may be killed at any time, if they keep their disks. Overlapping losses
+//     begin at any time, and only take no more disks than the settings say.
+//  10. The last loss follows an accepted change at once. Then each control host must return the newest accepted
+//     configuration, with the content that was sent, within the contact time, or the recovery time after overlapping losses.
 package hingesoak
 
 import (
@@ -48,7 +55,9 @@
 	PoisonRequests int
 	// Needs makes servers state that they are in need.
 	Needs bool
-	Out   io.Writer
+	// Losses injects losses of control hosts in place of the other faults at control hosts; empty means none.
+	Losses Losses
+	Out    io.Writer
 }
 
 // Violation is a violated guarantee. At is the time since the start of the run,
@@ -68,7 +77,9 @@
 	Changes  int
 	Faults   int
 	// Crashes counts the server crashes under poison requests.
-	Crashes    int
+	Crashes int
+	// FinalReads are the times from the last loss to a good read at each control host, shortest first.
+	FinalReads []time.Duration
 	Violations []Violation
 }
 
@@ -101,6 +112,9 @@
 func Run(ctx context.Context, o Options) (Report, error) {
 	o.Controls = cmp.Or(o.Controls, defaultHosts)
 	o.Entries = cmp.Or(o.Entries, defaultHosts)
+	if !slices.Contains([]Losses{"", TolerableLosses, OverlappingLosses}, o.Losses) {
+		return Report{}, eris.Errorf("losses are %q, want %s or %s", o.Losses, TolerableLosses, OverlappingLosses)
+	}
 	// Data of an earlier run would prevent the first start of a new system.
 	if err := os.RemoveAll(o.Folder); err != nil {
 		return Report{}, eris.Wrap(err, "remove folder of an earlier run")
@@ -125,7 +139,7 @@
 	if err := s.startServers(runCtx); err != nil {
 		return Report{}, err
 	}
-	operator := newOperator(s.fleet, s.checker)
+	operator := newOperator(s.fleet, s.checker, o.Losses != "")
 	if !waitFor(runCtx, startTimeout, func() bool {
 		return operator.sendNext(runCtx, 1)
 	}) {
@@ -167,6 +181,18 @@
 			return cmp.Compare(a.at, b.at)
 		})
 	}
+	var losses sync.WaitGroup
+	if s.options.Losses != "" {
+		faults = slices.DeleteFunc(faults, func(f fault) bool {
+			return f.control && f.kind != link
+		})
+		s.load.Go(func() {
+			newProber("prober", s.fleet, s.checker, s.options.Seed).run(loadCtx)
+		})
+		losses.Go(func() {
+			s.playLosses(ctx, operator, planLosses(rand.New(rand.NewPCG(s.options.Seed, 9)), s.options))
+		})
+	}
 	for _, f := range faults {
 		at := s.startedAt.Add(f.at)
 		_, _ = fmt.Fprintf(s.options.Out, "%8.3f s %s\n", f.at.Seconds(), f)
@@ -176,6 +202,7 @@
 		s.checker.countFault()
 		s.inject(ctx, f)
 	}
+	losses.Wait()
 	s.fleet.awaitFaults()
 	stop()
 	s.load.Wait()
@@ -193,7 +220,10 @@
 		s.checker.recordViolation("the fleet recovers", "", "not all hosts are ready, or no change is accepted, 20 s after the last fault")
 		return
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(applyBound)
+	if s.options.Losses != "" {
+		newProber("final-prober", s.fleet, s.checker, s.options.Seed).checkInForce(ctx)
+	}
 	c := newCaller(s.fleet, s.checker, s.options.Seed, minCallers)
 	answered := 0
 	for range finalRequests {
--- a/internal/soak/hingesoak/soak_test.go
+++ b/internal/soak/hingesoak/soak_test.go
@@ -32,6 +32,12 @@
 	runSeeds(t, "testdata/needs.txt")
 }
 
+// The configuration must be readable at each control host within the bound after the last of a series of lost, replaced,
+// cut off and killed control hosts. Otherwise a vote that still counts for a lost disk ends the service for good.
+func TestSeedsSurviveLosses(t *testing.T) {
+	runSeeds(t, "testdata/losses.txt")
+}
+
 func runSeeds(t *testing.T, file string) {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "swifthinge-fleet")
@@ -91,6 +97,8 @@
 			o.PoisonRequests = n
 		case "needs":
 			o.Needs = true
+		case "losses":
+			o.Losses = Losses(value)
 		case "lasts":
 			o.Duration, _ = time.ParseDuration(value)
 		}
