diskForgetful says who knows what, and journalOpened what a start read back

A host whose disk holds less than it confirmed wrote event 207 with the name of its group alone.

The answer of a check-in now carries the term and the committed entry that the member knows of the asking one; 207 names that member and both positions. Event 218 states, at each start and reopening, the term and the last entry that were read back, and the time that it took.

--- a/internal/agreement/hingegroup/apply.go
+++ b/internal/agreement/hingegroup/apply.go
@@ -1,6 +1,8 @@
 package hingegroup
 
 import (
+	"fmt"
+
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
@@ -100,11 +102,19 @@
 			Host:   e.Member.Host,
 			Fence:  fence(e.Term),
 			Count:  int64(e.Index),
-			Detail: m.group.settings.Name,
+			Detail: m.eventDetail(e),
 		})
 	}
 }
 
+func (m *member) eventDetail(e hingelog.Event) string {
+	if e.Kind != hingelog.StaleDisk {
+		return m.group.settings.Name
+	}
+	return fmt.Sprintf("%s: %s knows that this disk held entry %d and term %d; it ends at entry %d, term %d",
+		m.group.settings.Name, e.Member.Host, e.Known.Index, e.Known.Term, e.Index, e.Term)
+}
+
 // failWaiters answers all waiting proposals with Uncertain, since their entries may still
 // be committed. A resend with the same ID gets the result from the state machine.
 func (m *member) failWaiters() {
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -57,6 +57,7 @@
 
 func (m *member) openJournal(now time.Time) error {
 	s := m.group.settings
+	began := s.Clock()
 	j, recovered, err := hingejournal.Open(m.directory, s.Self, s.Name, s.WallClock())
 	if err != nil {
 		return err
@@ -72,6 +73,12 @@
 	}
 	m.journal = j
 	m.stored = stored
+	s.Recorder.Record(now, hingeevents.JournalOpened, hingeevents.Fields{
+		Fence:   fence(stored.HardState.Term),
+		Count:   int64(stored.Last().Index),
+		Detail:  s.Name,
+		Elapsed: s.Clock().Sub(began),
+	})
 	if recovered.TornBytes > 0 {
 		s.Recorder.Record(now, hingeevents.JournalCut, hingeevents.Fields{
 			Count:  int64(recovered.TornBytes),
--- a/internal/agreement/hingelog/checkin.go
+++ b/internal/agreement/hingelog/checkin.go
@@ -86,6 +86,10 @@
 		Term:    l.hardState.Term,
 		Granted: peer.term <= m.Term && peer.index <= m.At.Index,
 		Round:   m.Round,
+		At: Position{
+			Term:  peer.term,
+			Index: peer.index,
+		},
 	})
 }
 
@@ -95,7 +99,13 @@
 	}
 	if !m.Granted {
 		l.staleDisk = true
-		l.addEvent(StaleDisk, l.settings.Self)
+		l.events = append(l.events, Event{
+			Kind:   StaleDisk,
+			Term:   l.hardState.Term,
+			Member: m.From,
+			Index:  l.last().Index,
+			Known:  m.At,
+		})
 		return
 	}
 	l.checkInPassed[m.From] = true
--- a/internal/agreement/hingelog/types.go
+++ b/internal/agreement/hingelog/types.go
@@ -145,6 +145,18 @@
 	Entries      []Entry
 }
 
+// Last returns the position of the last entry.
+func (d DurableState) Last() Position {
+	if len(d.Entries) == 0 {
+		return d.BasePosition
+	}
+	e := d.Entries[len(d.Entries)-1]
+	return Position{
+		Term:  e.Term,
+		Index: e.Index,
+	}
+}
+
 // MessageKind is the kind of a message.
 type MessageKind uint8
 
@@ -176,7 +188,8 @@
 	To   Member      `cbor:"3,keyasint"`
 	Term Term        `cbor:"4,keyasint"`
 	// At is the sender's last position in votes and check-ins, the position before
-	// Entries in an Append, and the last confirmed position in an AppendResponse.
+	// Entries in an Append, and the last confirmed position in an AppendResponse. In a
+	// CheckInResponse it is the term and the committed index that the sender knows of the receiver.
 	At      Position `cbor:"5,keyasint"`
 	Entries []Entry  `cbor:"6,keyasint,omitempty"`
 	Commit  Index    `cbor:"7,keyasint,omitempty"`
@@ -216,6 +229,9 @@
 	Term   Term
 	Member Member
 	Index  Index
+	// Known is set in StaleDisk: the term and the committed entry that Member knows this disk to have held.
+	// Term and Index are those that the disk holds.
+	Known Position
 }
 
 // Output is what the caller processes, in the order of the fields.
--- a/internal/observe/hingeevents/log.go
+++ b/internal/observe/hingeevents/log.go
@@ -21,6 +21,7 @@
 	ConfigReadFailed Number = 215
 	ConfigUnreadable Number = 216
 	ConfigReadable   Number = 217
+	JournalOpened    Number = 218
 )
 
 var logEntries = []Entry{
@@ -70,7 +71,7 @@
 		Number:      DiskForgetful,
 		Name:        "diskForgetful",
 		Severity:    Failure,
-		Description: "This host's disk has lost data: other members know that it held more than it does now.",
+		Description: "This host's disk has lost data: host knows that it held more than it does now. Detail has both.",
 		Action:      "Move the group's folder away and start the process: the host rejoins with a new disk.",
 	},
 	{
@@ -136,4 +137,10 @@
 		Severity:    Info,
 		Description: "The configuration can be read at this control host again; took is how long it could not, host the leader.",
 	},
+	{
+		Number:      JournalOpened,
+		Name:        "journalOpened",
+		Severity:    Info,
+		Description: "A group's journal was read back at a start or after a failed write, in tookMs; count is its last entry, fence its term.",
+	},
 }
