hingejournal: a start syncs the folder before it builds on the names that it finds

A process that is killed between a creation or renaming and the sync of the folder leaves a name that the next start reads, and that a loss of power takes.

Open syncs the folder first. Ruled out as a mend: a sync only where a file was created, as nothing on the disk tells whether the process before came to its sync.

--- a/internal/agreement/hingejournal/doc.go
+++ b/internal/agreement/hingejournal/doc.go
@@ -22,5 +22,7 @@
 //     error.
 //  7. What Open returns is durable. The process before may have been killed between a
 //     write and its sync: a frame is then readable, and a power failure would still take it.
-//     Earlier segments were synced before the last one was created.
+//     So Open syncs the folder first, since the names that it finds may not be durable either,
+//     then the last segment. Earlier segments were synced before the last one was created,
+//     and a snapshot before it was renamed.
 package hingejournal
--- a/internal/agreement/hingejournal/journal.go
+++ b/internal/agreement/hingejournal/journal.go
@@ -54,6 +54,10 @@
 // Open opens the journal of a host's group, or creates it in an empty folder with a disk
 // incarnation derived from now. What it returns is durable.
 func Open(dir Directory, host hingeids.HostID, group string, now time.Time) (*Journal, Recovered, error) {
+	// Rule 7, before anything is read or removed.
+	if err := dir.Sync(); err != nil {
+		return nil, Recovered{}, eris.Wrap(err, "sync data folder")
+	}
 	id, newDisk, err := loadOrCreateIdentity(dir, host, group, now)
 	if err != nil {
 		return nil, Recovered{}, err
--- a/internal/agreement/hingejournal/readback_test.go
+++ b/internal/agreement/hingejournal/readback_test.go
@@ -137,3 +137,9 @@
 		h.disk.namesAreDurable = true
 	})
 }
+
+// Guards against files that a start finds and builds on, although the next loss of power takes their names, or takes a
+// snapshot together with the segments that it replaced.
+func TestFileNamesReadBackSurviveAPowerLoss(t *testing.T) {
+	checkHistories(t, func(*readBackHistory) {})
+}
