--- a/internal/agreement/hingegroup/faulty_test.go
+++ b/internal/agreement/hingegroup/faulty_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
@@ -214,7 +214,7 @@
 	process *process
 }
 
-var _ hingejournal.Directory = diskView{}
+var _ hingefolder.Directory = diskView{}
 
 func (v diskView) List() ([]string, error) {
 	return slices.Sorted(keysOf(v.disk.names)), nil
@@ -228,7 +228,7 @@
 	return slices.Clone(file.content), nil
 }
 
-func (v diskView) Create(name string) (hingejournal.File, error) {
+func (v diskView) Create(name string) (hingefolder.File, error) {
 	if err := v.disk.checkWrite(v.process); err != nil {
 		return nil, err
 	}
@@ -236,7 +236,7 @@
 	return v.OpenAppend(name)
 }
 
-func (v diskView) OpenAppend(name string) (hingejournal.File, error) {
+func (v diskView) OpenAppend(name string) (hingefolder.File, error) {
 	file := v.disk.names[name]
 	if file == nil {
 		return nil, fs.ErrNotExist
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -12,6 +12,7 @@
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeflight"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
@@ -142,7 +143,7 @@
 
 // New opens a host's part and registers its handlers at the link. A host without a
 // disk passes nil for directory and m.
-func New(s Settings, link hingelink.Link, directory hingejournal.Directory, m StateMachine) (*Group, error) {
+func New(s Settings, link hingelink.Link, directory hingefolder.Directory, m StateMachine) (*Group, error) {
 	g := &Group{
 		settings: s.withDefaults(),
 		link:     link,
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
 
@@ -16,7 +17,7 @@
 type member struct {
 	group         *Group
 	self          hingelog.Member
-	directory     hingejournal.Directory
+	directory     hingefolder.Directory
 	journal       *hingejournal.Journal
 	log           *hingelog.Log
 	stored        hingelog.DurableState
@@ -41,7 +42,7 @@
 	Base *hingelog.Position `cbor:"3,keyasint,omitempty"`
 }
 
-func openMember(g *Group, directory hingejournal.Directory) (*member, error) {
+func openMember(g *Group, directory hingefolder.Directory) (*member, error) {
 	now := g.settings.Clock()
 	m := &member{
 		group:     g,
--- a/internal/agreement/hingegroup/memory_test.go
+++ b/internal/agreement/hingegroup/memory_test.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 )
 
 // memoryDisk is a disk in memory with a configurable sync time. It doesn't simulate power
@@ -40,7 +40,7 @@
 	return append([]byte(nil), b...), nil
 }
 
-func (m *memoryDisk) Create(name string) (hingejournal.File, error) {
+func (m *memoryDisk) Create(name string) (hingefolder.File, error) {
 	m.files[name] = nil
 	return &memoryFile{
 		memoryDisk: m,
@@ -48,7 +48,7 @@
 	}, nil
 }
 
-func (m *memoryDisk) OpenAppend(name string) (hingejournal.File, error) {
+func (m *memoryDisk) OpenAppend(name string) (hingefolder.File, error) {
 	return &memoryFile{
 		memoryDisk: m,
 		name:       name,
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
 )
@@ -25,7 +25,7 @@
 	full atomic.Bool
 }
 
-func (f *fillableDisk) Create(name string) (hingejournal.File, error) {
+func (f *fillableDisk) Create(name string) (hingefolder.File, error) {
 	file, err := f.memoryDisk.Create(name)
 	return &fillableFile{
 		File: file,
@@ -33,7 +33,7 @@
 	}, err
 }
 
-func (f *fillableDisk) OpenAppend(name string) (hingejournal.File, error) {
+func (f *fillableDisk) OpenAppend(name string) (hingefolder.File, error) {
 	file, err := f.memoryDisk.OpenAppend(name)
 	return &fillableFile{
 		File: file,
@@ -42,7 +42,7 @@
 }
 
 type fillableFile struct {
-	hingejournal.File
+	hingefolder.File
 	disk *fillableDisk
 }
 
--- a/internal/agreement/hingejournal/identity.go
+++ b/internal/agreement/hingejournal/identity.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -21,14 +22,13 @@
 }
 
 const (
-	identityFile    = "identity.hinge"
-	temporarySuffix = ".new"
-	segmentSuffix   = ".segment"
-	snapshotSuffix  = ".snapshot"
+	identityFile   = "identity.hinge"
+	segmentSuffix  = ".segment"
+	snapshotSuffix = ".snapshot"
 )
 
 // The result is true if the identity was created, in an empty folder.
-func loadOrCreateIdentity(dir Directory, host hingeids.HostID, group string, now time.Time) (Identity, bool, error) {
+func loadOrCreateIdentity(dir hingefolder.Directory, host hingeids.HostID, group string, now time.Time) (Identity, bool, error) {
 	names, err := dir.List()
 	if err != nil {
 		return Identity{}, false, eris.Wrap(err, "list data folder")
@@ -48,7 +48,7 @@
 		return id, false, nil
 	}
 	for _, n := range names {
-		if !strings.HasSuffix(n, temporarySuffix) {
+		if !strings.HasSuffix(n, hingefolder.TemporarySuffix) {
 			return Identity{}, false, eris.Errorf("data folder contains file %s but no %s", n, identityFile)
 		}
 	}
@@ -57,13 +57,13 @@
 		Group: group,
 		Disk:  hingeids.Incarnation(now.UnixNano()),
 	}
-	return id, true, writeAtomically(dir, identityFile, encodeIdentity(id))
+	return id, true, hingefolder.WriteAtomically(dir, identityFile, encodeIdentity(id))
 }
 
 // RenewIdentity replaces the identity of a folder whose journal is empty by one with
 // a disk incarnation above the given one. Without it, a host whose clock was behind
 // would never be admitted, since its disk would seem older than one that it has lost.
-func RenewIdentity(dir Directory, host hingeids.HostID, group string, above hingeids.Incarnation, now time.Time) error {
+func RenewIdentity(dir hingefolder.Directory, host hingeids.HostID, group string, above hingeids.Incarnation, now time.Time) error {
 	names, err := dir.List()
 	if err != nil {
 		return eris.Wrap(err, "list data folder")
@@ -81,7 +81,7 @@
 	if err := dir.Sync(); err != nil {
 		return eris.Wrap(err, "sync data folder")
 	}
-	return writeAtomically(dir, identityFile, encodeIdentity(Identity{
+	return hingefolder.WriteAtomically(dir, identityFile, encodeIdentity(Identity{
 		Host:  host,
 		Group: group,
 		Disk:  max(hingeids.Incarnation(now.UnixNano()), above+1),
@@ -92,7 +92,7 @@
 // folder isn't written to.
 func checkFileNames(names []string) error {
 	for _, n := range names {
-		known := n == identityFile || strings.HasSuffix(n, temporarySuffix) ||
+		known := n == identityFile || strings.HasSuffix(n, hingefolder.TemporarySuffix) ||
 			strings.HasSuffix(n, segmentSuffix) || strings.HasSuffix(n, snapshotSuffix)
 		if !known {
 			return eris.Errorf("file %s in the data folder isn't swifthinge's", n)
@@ -109,7 +109,7 @@
 	return binary.BigEndian.AppendUint64(b, xxhash.Sum64(b))
 }
 
-func readIdentity(dir Directory) (Identity, error) {
+func readIdentity(dir hingefolder.Directory) (Identity, error) {
 	b, err := dir.Read(identityFile)
 	if err != nil {
 		return Identity{}, eris.Wrapf(err, "read %s", identityFile)
@@ -128,30 +128,3 @@
 func (id Identity) identityHash() identityHash {
 	return identityHash(xxhash.Sum64(encodeIdentity(id)))
 }
-
-// After a crash either the new or the previous content is there, and whole (rule 5).
-func writeAtomically(dir Directory, name string, content []byte) error {
-	if err := writeSynced(dir, name+temporarySuffix, content); err != nil {
-		return eris.Wrapf(err, "write %s", name)
-	}
-	if err := dir.Rename(name+temporarySuffix, name); err != nil {
-		return eris.Wrapf(err, "rename %s", name)
-	}
-	return eris.Wrapf(dir.Sync(), "sync data folder after renaming %s", name)
-}
-
-func writeSynced(dir Directory, name string, content []byte) error {
-	file, err := dir.Create(name)
-	if err != nil {
-		return err
-	}
-	if _, err := file.Write(content); err != nil {
-		_ = file.Close()
-		return err
-	}
-	if err := file.Sync(); err != nil {
-		_ = file.Close()
-		return err
-	}
-	return file.Close()
-}
--- a/internal/agreement/hingejournal/journal.go
+++ b/internal/agreement/hingejournal/journal.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -40,10 +41,10 @@
 
 // Journal appends records. It is not safe for concurrent use.
 type Journal struct {
-	directory    Directory
+	directory    hingefolder.Directory
 	identityHash identityHash
 	nextSequence uint64
-	segmentFile  File
+	segmentFile  hingefolder.File
 	segmentName  string
 	segmentSize  int64
 	buffer       []byte
@@ -53,7 +54,7 @@
 
 // Open opens the journal of a host's group, or creates it in an empty folder with a disk
 // incarnation derived from now. What it returns is durable.
-func Open(dir Directory, host hingeids.HostID, group string, now time.Time) (*Journal, Recovered, error) {
+func Open(dir hingefolder.Directory, host hingeids.HostID, group string, now time.Time) (*Journal, Recovered, error) {
 	// Rule 7, before anything is read or removed.
 	if err := dir.Sync(); err != nil {
 		return nil, Recovered{}, eris.Wrap(err, "sync data folder")
@@ -269,7 +270,7 @@
 	j.nextSequence++
 	b := encodeHeader(snapshotMagic, j.identityHash, j.nextSequence)
 	b = appendFrame(b, j.identityHash, j.nextSequence, append([][]byte{snapshot}, kept...))
-	if err := writeAtomically(j.directory, fileName(j.nextSequence, snapshotSuffix), b); err != nil {
+	if err := hingefolder.WriteAtomically(j.directory, fileName(j.nextSequence, snapshotSuffix), b); err != nil {
 		return err
 	}
 	if err := j.startSegment(); err != nil {
--- a/internal/agreement/hingejournal/journal_test.go
+++ b/internal/agreement/hingejournal/journal_test.go
@@ -9,15 +9,18 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingefakedisk"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 )
 
 var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func open(f Directory) (*Journal, Recovered, error) {
+func open(f hingefolder.Directory) (*Journal, Recovered, error) {
 	return Open(f, "cancale-1", "config", now)
 }
 
-func mustOpen(t interface{ Fatal(...any) }, f Directory) (*Journal, Recovered) {
+func mustOpen(t interface{ Fatal(...any) }, f hingefolder.Directory) (*Journal, Recovered) {
 	j, recovered, err := open(f)
 	if err != nil {
 		t.Fatal(err)
@@ -29,16 +32,22 @@
 	return string(recovered.Snapshot) + "|" + string(bytes.Join(recovered.Records, []byte(",")))
 }
 
+func flip(d *hingefakedisk.Disk, name string, offset int, mask byte) {
+	b, _ := d.Read(name)
+	b[offset] ^= mask
+	d.Put(name, b)
+}
+
 // Guards against lost records and a journal that can't be opened after a power cut at
 // any operation.
 func TestPowerCutLosesNothingThatWasAppended(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := newFakeDisk(rapid.Uint64().Draw(t, "seed"))
+		d := hingefakedisk.New(rapid.Uint64().Draw(t, "seed"))
 		j, _ := mustOpen(t, d)
 		snapshot, kept, tried := "", []string{}, []string(nil)
 		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			if rapid.IntRange(0, 5).Draw(t, "fails") == 0 {
-				d.stopAfter = rapid.IntRange(0, 9).Draw(t, "at")
+				d.StopAfter(rapid.IntRange(0, 9).Draw(t, "at"))
 			}
 			record := fmt.Sprintf("r%d", i)
 			before := snapshot + "|" + strings.Join(kept, ",")
@@ -69,7 +78,7 @@
 			if tried != nil {
 				after = tried[1] + "|" + tried[0]
 			}
-			d.losePower()
+			d.LosePower()
 			again, recovered := mustOpen(t, d)
 			got := contents(recovered)
 			if got != before && got != after {
@@ -82,7 +91,7 @@
 				kept = append(kept, string(r))
 			}
 		}
-		d.losePower()
+		d.LosePower()
 		_, recovered := mustOpen(t, d)
 		if diff := cmp.Diff(snapshot+"|"+strings.Join(kept, ","), contents(recovered)); diff != "" {
 			t.Fatal(diff)
@@ -96,58 +105,59 @@
 	const segment = "0000000000000003.segment"
 	const snapshot = "0000000000000003.snapshot"
 	for name, c := range map[string]struct {
-		damage func(*fakeDisk)
+		damage func(*hingefakedisk.Disk)
 		want   []string
 	}{
 		"middle of the journal": {
-			damage: func(d *fakeDisk) {
-				d.names[segment].content[headerSize+frameSize] ^= 1
+			damage: func(d *hingefakedisk.Disk) {
+				flip(d, segment, headerSize+frameSize, 1)
 			},
 			want: []string{segment, fmt.Sprint("offset ", headerSize)},
 		},
 		"length in the middle": {
-			damage: func(d *fakeDisk) {
-				d.names[segment].content[headerSize] ^= 0x80
+			damage: func(d *hingefakedisk.Disk) {
+				flip(d, segment, headerSize, 0x80)
 			},
 			want: []string{segment, fmt.Sprint("offset ", headerSize)},
 		},
 		"snapshot": {
-			damage: func(d *fakeDisk) {
-				d.names[snapshot].content[headerSize+frameSize] ^= 1
+			damage: func(d *hingefakedisk.Disk) {
+				flip(d, snapshot, headerSize+frameSize, 1)
 			},
 			want: []string{snapshot, fmt.Sprint("offset ", headerSize)},
 		},
 		"identity": {
-			damage: func(d *fakeDisk) {
-				d.names[identityFile].content[2] ^= 1
+			damage: func(d *hingefakedisk.Disk) {
+				flip(d, identityFile, 2, 1)
 			},
 			want: []string{identityFile, "offset 0"},
 		},
 		"file of another disk": {
-			damage: func(d *fakeDisk) {
-				other := newFakeDisk(2)
+			damage: func(d *hingefakedisk.Disk) {
+				other := hingefakedisk.New(2)
 				if _, _, err := Open(other, "cancale-1", "config", now.Add(1)); err != nil {
 					panic(err)
 				}
-				d.names[segment] = other.names["0000000000000001.segment"]
+				b, _ := other.Read("0000000000000001.segment")
+				d.Put(segment, b)
 			},
 			want: []string{segment, "another host, group or disk"},
 		},
 		"file that isn't ours": {
-			damage: func(d *fakeDisk) {
-				d.names["notes.txt"] = &inode{}
+			damage: func(d *hingefakedisk.Disk) {
+				d.Put("notes.txt", nil)
 			},
 			want: []string{"notes.txt", "isn't swifthinge's"},
 		},
 		"identity gone": {
-			damage: func(d *fakeDisk) {
-				delete(d.names, identityFile)
+			damage: func(d *hingefakedisk.Disk) {
+				d.Forget(identityFile)
 			},
 			want: []string{identityFile},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := newFakeDisk(1)
+			d := hingefakedisk.New(1)
 			j, _ := mustOpen(t, d)
 			for _, err := range []error{
 				j.Append([]byte("old")),
@@ -175,7 +185,7 @@
 
 // Guards against starting a host with the data folder of another host.
 func TestFolderOfAnotherHostIsRefused(t *testing.T) {
-	d := newFakeDisk(1)
+	d := hingefakedisk.New(1)
 	mustOpen(t, d)
 	_, _, err := Open(d, "roscoff-1", "config", now)
 	if err == nil || !strings.Contains(err.Error(), "belongs to host cancale-1") {
@@ -186,7 +196,7 @@
 // Guards against records lost across segments, compaction and reopening on a real
 // file system.
 func TestRealFolderIsReadBack(t *testing.T) {
-	f, err := OpenDirectory(t.TempDir() + "/config")
+	f, err := hingefolder.Open(t.TempDir() + "/config")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +247,7 @@
 func BenchmarkAppend(b *testing.B) {
 	for _, batchSize := range []int{1, 64} {
 		b.Run(fmt.Sprint(batchSize, "-a-sync"), func(b *testing.B) {
-			f, err := OpenDirectory(b.TempDir() + "/config")
+			f, err := hingefolder.Open(b.TempDir() + "/config")
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/agreement/hingejournal/readback_test.go
+++ b/internal/agreement/hingejournal/readback_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingefakedisk"
 )
 
 // readBackDraws is the number of histories of each test here.
@@ -14,7 +16,7 @@
 // readBackHistory is one history of a folder. Held is what the journal has returned or acknowledged last;
 // attempted is what an operation that was cut off may have left instead.
 type readBackHistory struct {
-	disk      *fakeDisk
+	disk      *hingefakedisk.Disk
 	random    *rand.Rand
 	journal   *Journal
 	held      string
@@ -24,7 +26,7 @@
 
 func newReadBackHistory(seed uint64) *readBackHistory {
 	return &readBackHistory{
-		disk:      newFakeDisk(seed),
+		disk:      hingefakedisk.New(seed),
 		random:    rand.New(rand.NewPCG(seed, 3)),
 		held:      "|",
 		attempted: "|",
@@ -44,7 +46,7 @@
 
 // adopt compares what was read with what was held, and relies on it from then on.
 func (h *readBackHistory) adopt(j *Journal, recovered Recovered, err error) error {
-	if errors.Is(err, errStopped) {
+	if errors.Is(err, hingefakedisk.ErrStopped) {
 		return nil
 	}
 	if err != nil {
@@ -86,7 +88,7 @@
 // playProcess starts a process, which writes and may be killed at any operation.
 func (h *readBackHistory) playProcess(number int) error {
 	if h.random.IntN(2) == 0 {
-		h.disk.stopAfter = h.random.IntN(14)
+		h.disk.StopAfter(h.random.IntN(14))
 	}
 	if err := h.start(); err != nil {
 		return err
@@ -108,13 +110,13 @@
 		h.journal = nil
 		if h.random.IntN(2) == 0 {
 			h.tracef("killed")
-			h.disk.kill()
+			h.disk.Kill()
 		} else {
 			h.tracef("power lost")
-			h.disk.losePower()
+			h.disk.LosePower()
 		}
 	}
-	h.disk.losePower()
+	h.disk.LosePower()
 	h.tracef("power lost")
 	return h.start()
 }
@@ -134,7 +136,7 @@
 // the process before was killed between the write and its sync.
 func TestRecordsReadBackSurviveAPowerLoss(t *testing.T) {
 	checkHistories(t, func(h *readBackHistory) {
-		h.disk.namesAreDurable = true
+		h.disk.KeepNames()
 	})
 }
 
--- a/internal/agreement/hingespread/cluster_test.go
+++ b/internal/agreement/hingespread/cluster_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeconfig"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
-	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/core/hingeverdict"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
@@ -119,7 +119,7 @@
 }
 
 func (x *process) openGroup(c *cluster, link hingelink.Link) {
-	files, err := hingejournal.OpenDirectory(c.folder + "/" + string(x.peer.Host))
+	files, err := hingefolder.Open(c.folder + "/" + string(x.peer.Host))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/agreement/hingejournal/files.go
+++ b/internal/core/hingefolder/folder.go
@@ -1,4 +1,4 @@
-package hingejournal
+package hingefolder
 
 import (
 	"io"
@@ -16,8 +16,7 @@
 	Close() error
 }
 
-// Directory is the folder that holds the journal. File names are relative to it and
-// have no path.
+// Directory is a folder of files. File names are relative to it and have no path.
 type Directory interface {
 	List() ([]string, error)
 	Read(name string) ([]byte, error)
@@ -33,10 +32,13 @@
 	Sync() error
 }
 
+// TemporarySuffix ends the names of files that a crash may have left behind.
+const TemporarySuffix = ".new"
+
 type folder string
 
-// OpenDirectory opens a folder of the file system and creates it if it doesn't exist.
-func OpenDirectory(path string) (Directory, error) {
+// Open opens a folder of the file system and creates it if it doesn't exist.
+func Open(path string) (Directory, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, eris.Wrap(err, "create data folder")
 	}
@@ -107,3 +109,31 @@
 	}()
 	return d.Sync()
 }
+
+// WriteAtomically replaces a file. After a crash either the new or the previous content is
+// there, and whole; once it returns, the new content is durable.
+func WriteAtomically(d Directory, name string, content []byte) error {
+	if err := writeSynced(d, name+TemporarySuffix, content); err != nil {
+		return eris.Wrapf(err, "write %s", name)
+	}
+	if err := d.Rename(name+TemporarySuffix, name); err != nil {
+		return eris.Wrapf(err, "rename %s", name)
+	}
+	return eris.Wrapf(d.Sync(), "sync folder after renaming %s", name)
+}
+
+func writeSynced(d Directory, name string, content []byte) error {
+	file, err := d.Create(name)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(content); err != nil {
+		_ = file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
--- a/internal/ledger/hingeledger/group_test.go
+++ b/internal/ledger/hingeledger/group_test.go
@@ -12,7 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
-	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/link/hingefake"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
@@ -92,7 +92,7 @@
 		Retention: func() time.Duration { return testRetention },
 	}
 	if disk {
-		files, err := hingejournal.OpenDirectory(t.TempDir())
+		files, err := hingefolder.Open(t.TempDir())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -19,7 +19,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
-	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeshared"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeversion"
 	"github.com/swifthinge/swifthinge/internal/capacity/hingeorders"
@@ -28,6 +27,7 @@
 	"github.com/swifthinge/swifthinge/internal/config/hingeroutes"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/decide/hingepoison"
 	"github.com/swifthinge/swifthinge/internal/decide/hingequota"
@@ -153,7 +153,7 @@
 func (c *Control) openGroup(ctx context.Context) (*hingegroup.Group, error) {
 	var last error
 	for range maxOpenAttempts {
-		files, err := hingejournal.OpenDirectory(filepath.Join(c.options.DataFolder, "config"))
+		files, err := hingefolder.Open(filepath.Join(c.options.DataFolder, "config"))
 		if err == nil {
 			var g *hingegroup.Group
 			if g, err = c.newGroup(files); err == nil {
@@ -173,7 +173,7 @@
 	return nil, eris.Wrap(last, "open the configuration's journal")
 }
 
-func (c *Control) newGroup(files hingejournal.Directory) (*hingegroup.Group, error) {
+func (c *Control) newGroup(files hingefolder.Directory) (*hingegroup.Group, error) {
 	o := c.options
 	return hingegroup.New(hingegroup.Settings{
 		Name:              "config",
--- a/internal/serve/hingeserver/shared.go
+++ b/internal/serve/hingeserver/shared.go
@@ -10,9 +10,9 @@
 
 	"github.com/swifthinge/swifthinge/internal/agreement/hingeconfig"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingegroup"
-	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingespread"
 	"github.com/swifthinge/swifthinge/internal/config/hingesettings"
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/ledger/hingeledger"
 	"github.com/swifthinge/swifthinge/internal/link/hingelink"
@@ -144,7 +144,7 @@
 	if c.settings.DataFolder == "" {
 		return hingegroup.New(settings, s.link, nil, nil)
 	}
-	files, err := hingejournal.OpenDirectory(filepath.Join(c.settings.DataFolder, name))
+	files, err := hingefolder.Open(filepath.Join(c.settings.DataFolder, name))
 	if err != nil {
 		return nil, err
 	}
@@ -213,7 +213,7 @@
 
 func (s *shared) openKeyOwner(c sharedConfig) error {
 	folder := filepath.Join(c.settings.DataFolder, "keeper")
-	if _, err := hingejournal.OpenDirectory(folder); err != nil {
+	if _, err := hingefolder.Open(folder); err != nil {
 		return err
 	}
 	store, err := hingeledger.OpenFileStore(folder)
