--- a/internal/ledger/hingeledger/store.go
+++ b/internal/ledger/hingeledger/store.go
@@ -6,17 +6,19 @@
 	"errors"
 	"hash/crc32"
 	"io/fs"
-	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 )
 
 // Store stores the frames of a key owner's journal. Frames are durable once Append
 // or Replace has returned without an error.
 type Store interface {
 	// Load returns all frames, oldest first, and the number of bytes of a torn last
-	// frame that were truncated. No frames and no error means a new disk.
+	// frame that were truncated. The frames are durable. No frames and no error means a new disk.
 	Load() (frames [][]byte, torn int, err error)
 	// Append writes and syncs a frame after the existing ones.
 	Append(frame []byte) error
@@ -43,23 +45,42 @@
 // One before a valid frame means that the disk lost synced data, which is an error,
 // because skipping the frame would lose claims.
 type FileStore struct {
+	directory hingefolder.Directory
+	// path is that of the file, for error texts.
 	path string
-	file *os.File
+	file hingefolder.File
 }
 
-// OpenFileStore opens or creates the store in an existing folder.
+const journalName = "keeper.journal"
+
+// OpenFileStore opens the store in a folder, and creates both if they don't exist.
 func OpenFileStore(folder string) (*FileStore, error) {
-	path := filepath.Join(folder, "keeper.journal")
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	d, err := hingefolder.Open(folder)
 	if err != nil {
-		return nil, eris.Wrap(err, "open key owner journal")
+		return nil, err
 	}
+	return openFileStore(d, filepath.Join(folder, journalName))
+}
+
+func openFileStore(d hingefolder.Directory, path string) (*FileStore, error) {
 	s := &FileStore{
-		path: path,
-		file: f,
+		directory: d,
+		path:      path,
 	}
-	if err := syncParentFolder(path); err != nil {
-		return nil, errors.Join(err, f.Close())
+	names, err := d.List()
+	if err != nil {
+		return nil, eris.Wrap(err, "list the folder of the key owner journal")
+	}
+	if !slices.Contains(names, journalName) {
+		if s.file, err = d.Create(journalName); err != nil {
+			return nil, eris.Wrap(err, "create key owner journal")
+		}
+	} else if s.file, err = d.OpenAppend(journalName); err != nil {
+		return nil, eris.Wrap(err, "open key owner journal")
+	}
+	// The file may have been created or renamed by a process that was killed before it synced the folder.
+	if err := d.Sync(); err != nil {
+		return nil, errors.Join(eris.Wrap(err, "sync the folder of the key owner journal"), s.file.Close())
 	}
 	return s, nil
 }
@@ -71,7 +92,7 @@
 
 // Load reads the file and truncates a torn last frame.
 func (s *FileStore) Load() (frames [][]byte, torn int, err error) {
-	raw, err := os.ReadFile(s.path)
+	raw, err := s.directory.Read(journalName)
 	if err != nil {
 		return nil, 0, eris.Wrap(err, "read key owner journal")
 	}
@@ -80,12 +101,15 @@
 		return nil, 0, eris.Wrapf(err, "read key owner journal %s", s.path)
 	}
 	if validBytes < len(raw) {
-		err = errors.Join(s.file.Truncate(int64(validBytes)), s.file.Sync())
+		if err := s.directory.Truncate(journalName, int64(validBytes)); err != nil {
+			return nil, 0, eris.Wrap(err, "truncate key owner journal")
+		}
 	}
-	if err == nil {
-		_, err = s.file.Seek(int64(validBytes), 0)
+	// The process before may have been killed between the write and its sync.
+	if err := s.file.Sync(); err != nil {
+		return nil, 0, eris.Wrap(err, "sync key owner journal")
 	}
-	return frames, len(raw) - validBytes, eris.Wrap(err, "truncate key owner journal")
+	return frames, len(raw) - validBytes, nil
 }
 
 // Append writes and syncs a frame.
@@ -98,30 +122,16 @@
 
 // Replace writes a new file in the same folder and renames it to the journal's name.
 func (s *FileStore) Replace(frame []byte) error {
-	next, err := os.OpenFile(s.path+".next", os.O_CREATE|os.O_RDWR|os.O_TRUNC, 0o600)
-	if err != nil {
-		return eris.Wrap(err, "create key owner journal")
-	}
-	_, err = next.Write(encodeFrame(frame))
-	err = errors.Join(err, next.Sync())
-	if err == nil {
-		err = os.Rename(s.path+".next", s.path)
+	if err := hingefolder.WriteAtomically(s.directory, journalName, encodeFrame(frame)); err != nil {
+		return eris.Wrap(err, "replace key owner journal")
 	}
+	next, err := s.directory.OpenAppend(journalName)
 	if err != nil {
-		return eris.Wrap(errors.Join(err, next.Close()), "replace key owner journal")
+		return eris.Wrap(err, "open key owner journal")
 	}
 	old := s.file
 	s.file = next
-	return errors.Join(old.Close(), syncParentFolder(s.path))
-}
-
-// syncParentFolder makes the creation or renaming of a file durable.
-func syncParentFolder(path string) error {
-	d, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return eris.Wrap(err, "open the folder of the key owner journal")
-	}
-	return eris.Wrap(errors.Join(d.Sync(), d.Close()), "sync the folder of the key owner journal")
+	return eris.Wrap(old.Close(), "close the previous key owner journal")
 }
 
 func encodeFrame(body []byte) []byte {
--- a/internal/serve/hingeserver/shared.go
+++ b/internal/serve/hingeserver/shared.go
@@ -212,11 +212,7 @@
 }
 
 func (s *shared) openKeyOwner(c sharedConfig) error {
-	folder := filepath.Join(c.settings.DataFolder, "keeper")
-	if _, err := hingefolder.Open(folder); err != nil {
-		return err
-	}
-	store, err := hingeledger.OpenFileStore(folder)
+	store, err := hingeledger.OpenFileStore(filepath.Join(c.settings.DataFolder, "keeper"))
 	if err != nil {
 		return err
 	}
