hingekeys: a key that a command reports as created has a durable name

'swifthinge keys' synced a key file and renamed it, and never synced the folder: a loss of power after the command had reported success could take the private key of the authority or of a host, and with it the hosts' certificates could not be renewed (rule 3). The new folder itself wasn't synced in its parent either.

Keys go through hingefolder's atomic replacement, which syncs the folder. A key whose command was killed between the renaming and the sync is covered by the renewal that follows, since it syncs the same folder.

--- a/internal/core/hingefolder/folder.go
+++ b/internal/core/hingefolder/folder.go
@@ -49,6 +49,11 @@
 	return folder(path), nil
 }
 
+// At returns an existing folder.
+func At(path string) Directory {
+	return folder(path)
+}
+
 func (f folder) path(name string) string {
 	return filepath.Join(string(f), name)
 }
--- a/internal/operate/hingekeys/keys.go
+++ b/internal/operate/hingekeys/keys.go
@@ -23,15 +23,14 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
-	"errors"
-	"io/fs"
 	"math/big"
-	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
@@ -46,12 +45,10 @@
 )
 
 const (
-	authorityName       = "swifthinge authority"
-	certificateBlock    = "CERTIFICATE"
-	privateKeyBlock     = "PRIVATE KEY"
-	ownerOnlyMode       = 0o600
-	ownerOnlyFolderMode = 0o700
-	serialNumberBits    = 120
+	authorityName    = "swifthinge authority"
+	certificateBlock = "CERTIFICATE"
+	privateKeyBlock  = "PRIVATE KEY"
+	serialNumberBits = 120
 )
 
 // Paths holds the paths of a process's PEM files.
@@ -63,40 +60,57 @@
 
 // HostPaths returns the paths of the files that CreateHostCertificate writes for a host.
 func HostPaths(folder string, host hingeids.HostID) Paths {
+	n := fileNames(string(host))
 	return Paths{
-		Authority:   filepath.Join(folder, "authority.pem"),
-		Certificate: filepath.Join(folder, string(host)+".pem"),
-		Key:         filepath.Join(folder, string(host)+".key.pem"),
+		Authority:   filepath.Join(folder, n.Authority),
+		Certificate: filepath.Join(folder, n.Certificate),
+		Key:         filepath.Join(folder, n.Key),
 	}
 }
 
-func authorityPaths(folder string) Paths {
-	return HostPaths(folder, "authority")
+const authorityID = "authority"
+
+// fileNames returns the names of the files of a host or of the authority.
+func fileNames(id string) Paths {
+	return Paths{
+		Authority:   authorityID + ".pem",
+		Certificate: id + ".pem",
+		Key:         id + ".key.pem",
+	}
+}
+
+// keyFolder is the folder in which the authority's key is.
+type keyFolder struct {
+	hingefolder.Directory
 }
 
 // CreateAuthority creates a certificate authority in the folder, and the folder if
 // it doesn't exist. Only authority.pem belongs on the hosts, authority.key.pem
 // doesn't. It fails if the folder already contains an authority.
 func CreateAuthority(folder string, now time.Time) error {
-	if err := os.MkdirAll(folder, ownerOnlyFolderMode); err != nil {
-		return eris.Wrap(err, "create key folder")
+	d, err := hingefolder.Open(folder)
+	if err != nil {
+		return err
 	}
-	p := authorityPaths(folder)
-	private, err := generateKey(p.Key)
+	return keyFolder{d}.createAuthority(now)
+}
+
+func (k keyFolder) createAuthority(now time.Time) error {
+	private, err := k.generateKey(authorityID)
 	if err != nil {
 		return err
 	}
-	return signAuthority(p, private, now, writeNew)
+	return k.signAuthority(private, now, k.writeNew)
 }
 
 // RenewAuthority replaces authority.pem by one that expires later (Rule 3).
 func RenewAuthority(folder string, now time.Time) error {
-	p := authorityPaths(folder)
-	private, err := readKey(p.Key)
+	k := keyFolder{hingefolder.At(folder)}
+	private, err := k.readKey(authorityID)
 	if err != nil {
 		return err
 	}
-	return signAuthority(p, private, now, replaceFile)
+	return k.signAuthority(private, now, k.replaceFile)
 }
 
 // CreateHostCertificate creates a host's key and certificate. It fails if one of the files exists.
@@ -104,12 +118,15 @@
 	if err := checkName(host); err != nil {
 		return err
 	}
-	p := HostPaths(folder, host)
-	private, err := generateKey(p.Key)
+	return keyFolder{hingefolder.At(folder)}.createHost(host, now)
+}
+
+func (k keyFolder) createHost(host hingeids.HostID, now time.Time) error {
+	private, err := k.generateKey(string(host))
 	if err != nil {
 		return err
 	}
-	return signHost(folder, host, private, now, writeNew)
+	return k.signHost(host, private, now, k.writeNew)
 }
 
 // RenewHostCertificate replaces a host's certificate by one that expires later (Rule 2).
@@ -117,26 +134,30 @@
 	if err := checkName(host); err != nil {
 		return err
 	}
-	private, err := readKey(HostPaths(folder, host).Key)
+	return keyFolder{hingefolder.At(folder)}.renewHost(host, now)
+}
+
+func (k keyFolder) renewHost(host hingeids.HostID, now time.Time) error {
+	private, err := k.readKey(string(host))
 	if err != nil {
 		return err
 	}
-	return signHost(folder, host, private, now, replaceFile)
+	return k.signHost(host, private, now, k.replaceFile)
 }
 
 // checkName rejects names that would place a host's files outside the folder or
 // collide with the authority's files.
 func checkName(host hingeids.HostID) error {
 	name := string(host)
-	if name == "" || name == "authority" || filepath.Base(name) != name {
+	if name == "" || name == authorityID || filepath.Base(name) != name {
 		return eris.Errorf("host ID %q can't be the name of key files: it is empty, reserved or contains a path separator", host)
 	}
 	return nil
 }
 
-type writeFunc func(path string, block *pem.Block) error
+type writeFunc func(name string, block *pem.Block) error
 
-func signAuthority(p Paths, private ed25519.PrivateKey, now time.Time, write writeFunc) error {
+func (k keyFolder) signAuthority(private ed25519.PrivateKey, now time.Time, write writeFunc) error {
 	template, err := newTemplate(authorityName, now, authorityValidity)
 	if err != nil {
 		return err
@@ -145,16 +166,15 @@
 	template.BasicConstraintsValid = true
 	template.MaxPathLenZero = true
 	template.KeyUsage = x509.KeyUsageCertSign
-	return sign(p.Certificate, template, template, private, private, write)
+	return sign(fileNames(authorityID).Certificate, template, template, private, private, write)
 }
 
-func signHost(folder string, host hingeids.HostID, private ed25519.PrivateKey, now time.Time, write writeFunc) error {
-	p := authorityPaths(folder)
-	authorityKey, err := readKey(p.Key)
+func (k keyFolder) signHost(host hingeids.HostID, private ed25519.PrivateKey, now time.Time, write writeFunc) error {
+	authorityKey, err := k.readKey(authorityID)
 	if err != nil {
 		return err
 	}
-	authority, err := readCertificates(p.Authority)
+	authority, err := k.readCertificates(fileNames(authorityID).Authority)
 	if err != nil {
 		return err
 	}
@@ -165,7 +185,7 @@
 	template.DNSNames = []string{string(host)}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	return sign(HostPaths(folder, host).Certificate, template, authority[0], private, authorityKey, write)
+	return sign(fileNames(string(host)).Certificate, template, authority[0], private, authorityKey, write)
 }
 
 func newTemplate(name string, now time.Time, validity time.Duration) (*x509.Certificate, error) {
@@ -184,19 +204,19 @@
 }
 
 func sign(
-	path string, template, parent *x509.Certificate, subjectKey, signerKey ed25519.PrivateKey, write writeFunc,
+	name string, template, parent *x509.Certificate, subjectKey, signerKey ed25519.PrivateKey, write writeFunc,
 ) error {
 	der, err := x509.CreateCertificate(rand.Reader, template, parent, subjectKey.Public(), signerKey)
 	if err != nil {
-		return eris.Wrapf(err, "sign certificate %s", path)
+		return eris.Wrapf(err, "sign certificate %s", name)
 	}
-	return write(path, &pem.Block{
+	return write(name, &pem.Block{
 		Type:  certificateBlock,
 		Bytes: der,
 	})
 }
 
-func generateKey(path string) (ed25519.PrivateKey, error) {
+func (k keyFolder) generateKey(id string) (ed25519.PrivateKey, error) {
 	_, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return nil, eris.Wrap(err, "generate private key")
@@ -205,31 +225,41 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode private key")
 	}
-	return private, writeNew(path, &pem.Block{
+	return private, k.writeNew(fileNames(id).Key, &pem.Block{
 		Type:  privateKeyBlock,
 		Bytes: der,
 	})
 }
 
-func writeNew(path string, block *pem.Block) error {
-	if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
-		return eris.Errorf("%s already exists and is not overwritten", path)
+func (k keyFolder) writeNew(name string, block *pem.Block) error {
+	names, err := k.List()
+	if err != nil {
+		return eris.Wrap(err, "list key folder")
+	}
+	if slices.Contains(names, name) {
+		return eris.Errorf("%s already exists and is not overwritten", name)
 	}
-	return replaceFile(path, block)
+	return k.replaceFile(name, block)
 }
 
-// replaceFile atomically replaces a file by writing, syncing and renaming a
-// temporary one. Without the sync, a power loss could leave an empty file, with
-// which the host can't start.
-func replaceFile(path string, block *pem.Block) error {
-	next := path + ".next"
-	f, err := os.OpenFile(next, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, ownerOnlyMode)
+// replaceFile replaces a file atomically. Once it returns, a power loss leaves neither an empty file nor none.
+func (k keyFolder) replaceFile(name string, block *pem.Block) error {
+	return eris.Wrap(hingefolder.WriteAtomically(k, name, pem.EncodeToMemory(block)), "write key file")
+}
+
+func (k keyFolder) readKey(id string) (ed25519.PrivateKey, error) {
+	name := fileNames(id).Key
+	raw, err := k.Read(name)
 	if err != nil {
-		return eris.Wrap(err, "create temporary key file")
+		return nil, eris.Wrap(err, "read private key file")
 	}
-	err = errors.Join(pem.Encode(f, block), f.Sync(), f.Close())
+	return parseKey(name, raw)
+}
+
+func (k keyFolder) readCertificates(name string) ([]*x509.Certificate, error) {
+	raw, err := k.Read(name)
 	if err != nil {
-		return eris.Wrapf(err, "write %s", next)
+		return nil, eris.Wrap(err, "read certificate file")
 	}
-	return eris.Wrap(os.Rename(next, path), "replace key file")
+	return parseCertificates(name, raw)
 }
--- a/internal/operate/hingekeys/keys_test.go
+++ b/internal/operate/hingekeys/keys_test.go
@@ -85,7 +85,7 @@
 	must(t, handshake(t, HostPaths(folder, "cancale-1"), HostPaths(folder, "roscoff-1"), startTime))
 	info, err := os.Stat(HostPaths(folder, "cancale-1").Key)
 	must(t, err)
-	if diff := cmp.Diff(os.FileMode(ownerOnlyMode), info.Mode().Perm()); diff != "" {
+	if diff := cmp.Diff(os.FileMode(0o600), info.Mode().Perm()); diff != "" {
 		t.Fatal(diff)
 	}
 	wantErrorText(t, CreateHostCertificate(folder, "cancale-1", startTime), "not overwritten")
@@ -143,7 +143,7 @@
 	must(t, err)
 	a, err := loadTLS(HostPaths(folder, "roscoff-1"), clock)
 	must(t, err)
-	must(t, os.WriteFile(HostPaths(folder, "cancale-1").Certificate, []byte("torn"), ownerOnlyMode))
+	must(t, os.WriteFile(HostPaths(folder, "cancale-1").Certificate, []byte("torn"), 0o600))
 	must(t, handshakeConfigs(d, a))
 	_, err = loadTLS(HostPaths(folder, "cancale-1"), clock)
 	wantErrorText(t, err, "cancale-1.pem")
--- a/internal/operate/hingekeys/load.go
+++ b/internal/operate/hingekeys/load.go
@@ -167,6 +167,10 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "read certificate file")
 	}
+	return parseCertificates(path, raw)
+}
+
+func parseCertificates(path string, raw []byte) ([]*x509.Certificate, error) {
 	var all []*x509.Certificate
 	for block, rest := pem.Decode(raw); block != nil; block, rest = pem.Decode(rest) {
 		c, err := x509.ParseCertificate(block.Bytes)
@@ -181,11 +185,7 @@
 	return all, nil
 }
 
-func readKey(path string) (ed25519.PrivateKey, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, eris.Wrap(err, "read private key file")
-	}
+func parseKey(path string, raw []byte) (ed25519.PrivateKey, error) {
 	block, _ := pem.Decode(raw)
 	if block == nil {
 		return nil, eris.Errorf("%s contains no PEM block", path)
