hingefolder: the names of the data folder's parents are durable before anything is stored in it

Open created missing parents with one call and synced the last parent only. A process that was killed between the two, or simply a data folder two levels deep, left a parent whose name no sync covers: a loss of power takes the folder with everything that was acknowledged in it, and the host comes back as one that lost its disk.

A folder is now created only once its parent's own name is durable, so that its existence proves that of the parent; the innermost name is synced at each start.

--- a/internal/core/hingefolder/folder.go
+++ b/internal/core/hingefolder/folder.go
@@ -39,12 +39,12 @@
 
 // Open opens a folder of the file system and creates it if it doesn't exist.
 func Open(path string) (Directory, error) {
-	if err := os.MkdirAll(path, 0o700); err != nil {
-		return nil, eris.Wrap(err, "create data folder")
+	absolute, err := filepath.Abs(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "find the working directory")
 	}
-	// The folder's entry in its parent has to be durable as well.
-	if err := folder(filepath.Dir(path)).Sync(); err != nil {
-		return nil, eris.Wrap(err, "sync parent of data folder")
+	if err := createFolder(fileSystem{}, absolute); err != nil {
+		return nil, err
 	}
 	return folder(path), nil
 }
