hingejournal: after a failed sync nothing that it left behind is read back

Rule 2 of the package said so, and the reopening went round it.

Reopen cuts the last segment to its acknowledged size, and removes files that are newer than it, which come from a compaction or a segment that failed: nobody has been told of either. A last segment without frames is created anew, as its header's sync may have failed.

Two ways compared: this, and rewriting the last segment at each opening, which would also cover a process that is killed between a failed sync and its reopening (a quarter of a second). The latter writes up to 8 MB at each start and needs free space, so that a host with a full disk could not start; what is left open stands in rule 8.

--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -29,8 +29,8 @@
 //     may only join: it could otherwise bootstrap a second group once all
 //     disks are empty.
 //  8. A failed write doesn't end the process. What it left on the disk is unknown, so the
-//     member discards its state in memory and restarts from the disk once writes succeed
-//     again. Until then it neither votes nor leads.
+//     member discards its state in memory and restarts from what the journal has acknowledged
+//     once writes succeed again. Until then it neither votes nor leads.
 //  9. A host whose log knows no leader asks all hosts that it knows for it: those of its
 //     settings, the members, and hosts from which messages of the group have arrived, also
 //     those for a lost disk. ReadState takes the state from the leader, under its lease,
--- a/internal/agreement/hingegroup/join.go
+++ b/internal/agreement/hingegroup/join.go
@@ -94,7 +94,7 @@
 	if err := hingejournal.RenewIdentity(m.directory, s.Self, s.Name, above, s.WallClock()); err != nil {
 		return err
 	}
-	if err := m.openJournal(now); err != nil {
+	if err := m.openJournal(now, m.open); err != nil {
 		return err
 	}
 	return m.startLog(now)
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -50,16 +50,23 @@
 		waiters:   make(map[hingelog.Index]waiter),
 		admitted:  make(map[string]bool),
 	}
-	if err := m.openJournal(now); err != nil {
+	if err := m.openJournal(now, m.open); err != nil {
 		return nil, err
 	}
 	return m, m.startLog(now)
 }
 
-func (m *member) openJournal(now time.Time) error {
+// openFunc opens the journal at a time of day.
+type openFunc func(now time.Time) (*hingejournal.Journal, hingejournal.Recovered, error)
+
+func (m *member) open(now time.Time) (*hingejournal.Journal, hingejournal.Recovered, error) {
+	return hingejournal.Open(m.directory, m.group.settings.Self, m.group.settings.Name, now)
+}
+
+func (m *member) openJournal(now time.Time, open openFunc) error {
 	s := m.group.settings
 	began := s.Clock()
-	j, recovered, err := hingejournal.Open(m.directory, s.Self, s.Name, s.WallClock())
+	j, recovered, err := open(s.WallClock())
 	if err != nil {
 		return err
 	}
@@ -91,7 +98,7 @@
 
 const reopenInterval = 250 * time.Millisecond
 
-// reopen restarts the member from the content of the disk as soon as the journal can be
+// reopen restarts the member from what the journal has acknowledged, as soon as that can be
 // opened (rule 8). It returns nil when the context is done.
 func (m *member) reopen(ctx context.Context) error {
 	m.failWaiters()
@@ -99,14 +106,14 @@
 	// After the status, so that a reader of both never takes the earlier status for the state that follows.
 	m.group.reopens.Add(1)
 	for {
-		_ = m.journal.Close()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(reopenInterval):
 		}
 		now := m.group.settings.Clock()
-		if err := m.openJournal(now); err != nil {
+		if err := m.openJournal(now, m.journal.Reopen); err != nil {
+			m.recordFailure(now, err)
 			continue
 		}
 		return m.startLog(now)
@@ -228,9 +235,7 @@
 		early, late := o.SplitMessages()
 		m.group.senders.send(early)
 		if err := m.store(o); err != nil {
-			m.group.settings.Recorder.Record(m.group.settings.Clock(), hingeevents.JournalFailed, hingeevents.Fields{
-				Detail: err.Error(),
-			})
+			m.recordFailure(m.group.settings.Clock(), err)
 			return err
 		}
 		m.group.senders.send(late)
@@ -244,6 +249,12 @@
 	}
 }
 
+func (m *member) recordFailure(now time.Time, err error) {
+	m.group.settings.Recorder.Record(now, hingeevents.JournalFailed, hingeevents.Fields{
+		Detail: err.Error(),
+	})
+}
+
 func (m *member) store(o hingelog.Output) error {
 	if o.InstallSnapshot != nil {
 		// The snapshot replaces the whole journal.
--- a/internal/agreement/hingejournal/doc.go
+++ b/internal/agreement/hingejournal/doc.go
@@ -25,4 +25,8 @@
 //     So Open syncs the folder first, since the names that it finds may not be durable either,
 //     then the last segment. Earlier segments were synced before the last one was created,
 //     and a snapshot before it was renamed.
+//  8. A failed sync may leave bytes readable that no later sync writes. Reopen
+//     cuts off what a failed operation left behind, which was never acknowledged. Between processes this
+//     isn't possible: a frame of the process before may have been acknowledged. If a sync
+//     fails and the process is killed before Reopen, the next one trusts the frame.
 package hingejournal
--- a/internal/agreement/hingejournal/journal.go
+++ b/internal/agreement/hingejournal/journal.go
@@ -42,6 +42,7 @@
 // Journal appends records. It is not safe for concurrent use.
 type Journal struct {
 	directory    hingefolder.Directory
+	identity     Identity
 	identityHash identityHash
 	nextSequence uint64
 	segmentFile  hingefolder.File
@@ -55,6 +56,33 @@
 // Open opens the journal of a host's group, or creates it in an empty folder with a disk
 // incarnation derived from now. What it returns is durable.
 func Open(dir hingefolder.Directory, host hingeids.HostID, group string, now time.Time) (*Journal, Recovered, error) {
+	return openFolder(dir, host, group, now, nil)
+}
+
+// Reopen opens a journal again after a failed write or sync, without what the failed operation left in
+// the folder (rule 8). It may be called again after an error.
+func (j *Journal) Reopen(now time.Time) (*Journal, Recovered, error) {
+	_ = j.Close()
+	return openFolder(j.directory, j.identity.Host, j.identity.Group, now, &logEnd{
+		segment: j.segmentName,
+		size:    j.segmentSize,
+	})
+}
+
+// logEnd is the end of what a journal has acknowledged.
+type logEnd struct {
+	segment string
+	size    int64
+}
+
+func openFolder(
+	dir hingefolder.Directory, host hingeids.HostID, group string, now time.Time, end *logEnd,
+) (*Journal, Recovered, error) {
+	if end != nil {
+		if err := end.discardRest(dir); err != nil {
+			return nil, Recovered{}, err
+		}
+	}
 	// Rule 7, before anything is read or removed.
 	if err := dir.Sync(); err != nil {
 		return nil, Recovered{}, eris.Wrap(err, "sync data folder")
@@ -65,6 +93,7 @@
 	}
 	j := &Journal{
 		directory:    dir,
+		identity:     id,
 		identityHash: id.identityHash(),
 		nextSequence: 1,
 	}
@@ -78,6 +107,39 @@
 	return j, recovered, nil
 }
 
+// discardRest implements rule 8. Files that are newer than the last segment come from a compaction or a new segment
+// that failed; what they would have replaced is still there.
+func (e *logEnd) discardRest(dir hingefolder.Directory) error {
+	names, err := dir.List()
+	if err != nil {
+		return eris.Wrap(err, "list data folder")
+	}
+	for _, n := range names {
+		if n == e.segment {
+			if err := e.discardTail(dir); err != nil {
+				return err
+			}
+		}
+		if n != identityFile && sequencePart(n) > sequencePart(e.segment) {
+			if err := dir.Remove(n); err != nil {
+				return eris.Wrapf(err, "remove %s", n)
+			}
+		}
+	}
+	return nil
+}
+
+func (e *logEnd) discardTail(dir hingefolder.Directory) error {
+	b, err := dir.Read(e.segment)
+	if err != nil {
+		return eris.Wrapf(err, "read %s", e.segment)
+	}
+	if int64(len(b)) <= e.size {
+		return nil
+	}
+	return eris.Wrapf(dir.Truncate(e.segment, e.size), "truncate %s", e.segment)
+}
+
 func (j *Journal) load(recovered *Recovered) error {
 	names, err := j.directory.List()
 	if err != nil {
@@ -148,6 +210,12 @@
 	return fmt.Sprintf("%016x%s", first, suffix)
 }
 
+// sequencePart returns the part of a file's name that fileName derives from the sequence number.
+func sequencePart(name string) string {
+	sequence, _, _ := strings.Cut(name, ".")
+	return sequence
+}
+
 func (j *Journal) loadSegments(names []string, recovered *Recovered) error {
 	for i, n := range names {
 		last := i == len(names)-1
@@ -155,8 +223,7 @@
 		if err != nil {
 			return eris.Wrapf(err, "read %s", n)
 		}
-		if last && len(b) <= headerSize && isHeaderDamaged(b) && n == fileName(j.nextSequence, segmentSuffix) {
-			// A crash interrupted the creation of this segment; it holds no frames.
+		if last && j.isWithoutFrames(n, b) {
 			break
 		}
 		records, next, validSize, err := readSegment(n, b, j.identityHash, j.nextSequence, last)
@@ -174,6 +241,19 @@
 	return j.startSegment()
 }
 
+// isWithoutFrames reports whether a segment holds no frames, so that it can be created again. A crash may have
+// interrupted its creation, or the sync of its header may have failed.
+func (j *Journal) isWithoutFrames(name string, b []byte) bool {
+	if len(b) > headerSize || name != fileName(j.nextSequence, segmentSuffix) {
+		return false
+	}
+	if isHeaderDamaged(b) {
+		return true
+	}
+	first, err := readHeader(b, segmentMagic, j.identityHash)
+	return err == nil && first == j.nextSequence
+}
+
 // A torn frame at the end of the segment is truncated, and the rest is made durable (rule 7).
 func (j *Journal) openLastSegment(name string, validSize int64, torn bool) error {
 	if torn {
--- a/internal/agreement/hingejournal/readback_test.go
+++ b/internal/agreement/hingejournal/readback_test.go
@@ -145,3 +145,49 @@
 func TestFileNamesReadBackSurviveAPowerLoss(t *testing.T) {
 	checkHistories(t, func(*readBackHistory) {})
 }
+
+// Guards against a record whose write or sync failed, which the journal reads back in the same process and takes for
+// durable: the kernel counts it as written, no later sync writes it, and a loss of power takes it with all that follows.
+func TestFailedWritesAreNotReadBack(t *testing.T) {
+	for seed := range uint64(readBackDraws) {
+		h := newReadBackHistory(seed)
+		if err := h.playFailures(); err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, strings.Join(h.trace, "\n"))
+		}
+	}
+}
+
+// playFailures draws a series of processes in which single operations of the disk fail, and returns the first violation.
+func (h *readBackHistory) playFailures() error {
+	for number := range 1 + h.random.IntN(5) {
+		if err := h.start(); err != nil {
+			return err
+		}
+		for n := range h.random.IntN(8) {
+			if h.random.IntN(3) == 0 {
+				h.disk.FailAfter(h.random.IntN(8))
+			}
+			if h.write(10*number + n) {
+				continue
+			}
+			if err := h.reopen(); err != nil {
+				return err
+			}
+		}
+		h.tracef("power lost")
+		h.disk.LosePower()
+	}
+	return h.start()
+}
+
+// reopen retries as the member does.
+func (h *readBackHistory) reopen() error {
+	for {
+		j, recovered, err := h.journal.Reopen(now)
+		h.tracef("reopen: %v", err)
+		if errors.Is(err, hingefakedisk.ErrFailed) {
+			continue
+		}
+		return h.adopt(j, recovered, err)
+	}
+}
