hingegroup: a host whose disk forgot what it confirmed comes back by itself

Now such a host keeps running, neither votes nor confirms (hingelog drops all messages of that incarnation, as before), and keeps its folder. Once a leader answers under a lease that began after this host's start, the others have a quorum without it, which holds everything that is committed; the disk then gets a new incarnation and joins as a lost one would (event 219). What it forgot binds the old incarnation, which never acts again.

The identity is replaced first now, in one step, and names the one whose files the next Open removes.

The drawn losses know a disk that forgets.

--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -36,4 +36,8 @@
 //     those for a lost disk. ReadState takes the state from the leader, under its lease,
 //     unless the local copy holds everything that the leader had committed. Reads of one
 //     moment share one query, which starts after each of them has arrived.
+//  10. A member whose disk holds less than it has confirmed (hingelog rule 12) neither votes nor confirms
+//     anything, and keeps its folder: if no quorum is left without it, an operator may need what it holds. Once
+//     a leader answers under a lease that began after this process, the others have a quorum, which
+//     holds all that is committed. The disk is then renewed, and joins as an empty one (rule 4).
 package hingegroup
--- a/internal/agreement/hingegroup/faulty_test.go
+++ b/internal/agreement/hingegroup/faulty_test.go
@@ -145,6 +145,19 @@
 	}
 }
 
+// clone returns a copy of a disk that no process uses, with everything on it durable.
+func (d *faultyDisk) clone() *faultyDisk {
+	c := newFaultyDisk()
+	for n, file := range d.names {
+		c.names[n] = &storedFile{
+			content: slices.Clone(file.content),
+			synced:  len(file.content),
+		}
+		c.durable[n] = c.names[n]
+	}
+	return c
+}
+
 func (d *faultyDisk) setFault(syncTime time.Duration, stalledUntil time.Time, full bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
 	"github.com/swifthinge/swifthinge/internal/core/hingeboard"
@@ -115,7 +113,9 @@
 	LeaseUntil time.Time
 	// LeaderSince is since when Leader is what it is, also for no leader.
 	LeaderSince time.Time
-	Journal     hingejournal.Totals
+	// StaleDisk reports that the disk holds less than this host has confirmed (rule 10).
+	StaleDisk bool
+	Journal   hingejournal.Totals
 }
 
 // Group is one host's part in a group. On a host without a disk it only forwards
@@ -227,12 +227,8 @@
 	return g.done
 }
 
-// ErrStaleDisk is returned by Run if the disk is an older copy (hingelog rule 12).
-var ErrStaleDisk = eris.New("the disk holds less than this host has confirmed: " +
-	"move its folder away and start again, and the host is repaired as one with a new disk")
-
-// Run runs the loop until the context is done. It returns an error if the disk is an
-// older copy, or if what it holds can't be restored after a failed write.
+// Run runs the loop until the context is done. It returns an error if what the disk holds
+// can't be restored after a failed write.
 func (g *Group) Run(ctx context.Context) error {
 	defer close(g.done)
 	if g.member == nil {
--- a/internal/agreement/hingegroup/join.go
+++ b/internal/agreement/hingegroup/join.go
@@ -52,7 +52,7 @@
 		newest = max(newest, a.Newest)
 	}
 	if newest > self.Disk {
-		g.renewDisk(ctx, newest)
+		g.renewDisk(ctx, newest, "")
 	}
 }
 
@@ -67,39 +67,51 @@
 	return a
 }
 
-// renewDisk implements rule 4.
-func (g *Group) renewDisk(ctx context.Context, above hingeids.Incarnation) {
+// renewDisk implements rule 4, and rule 10 if the leader isn't empty.
+func (g *Group) renewDisk(ctx context.Context, above hingeids.Incarnation, leader hingeids.HostID) {
 	failed, err := runInLoop(ctx, g, func(now time.Time) error {
-		return g.member.renewDisk(now, above)
+		return g.member.renewDisk(now, above, leader)
 	})
 	if err == nil {
 		err = failed
 	}
 	if err != nil {
-		g.settings.Recorder.Record(g.settings.Clock(), hingeevents.JournalFailed, hingeevents.Fields{
-			Detail: err.Error(),
-		})
+		g.member.recordFailure(g.settings.Clock(), err)
 	}
 }
 
-// renewDisk restarts the member with a new disk incarnation. It does nothing unless the
-// disk is empty and not newer already, since a new incarnation isn't bound by what the
+// renewDisk restarts the member with a new, empty disk. It does nothing unless the
+// disk is empty or stale, and not newer already, since a new incarnation isn't bound by what the
 // old one has confirmed.
-func (m *member) renewDisk(now time.Time, above hingeids.Incarnation) error {
-	if m.log.Status().LastIndex > 0 || m.self.Disk > above {
+func (m *member) renewDisk(now time.Time, above hingeids.Incarnation, leader hingeids.HostID) error {
+	if m.log.Status().LastIndex > 0 && !m.log.HasStaleDisk() || m.self.Disk > above {
 		return nil
 	}
+	// As in reopen: the state that follows is older.
+	m.group.status.Store(&Status{})
+	m.group.reopens.Add(1)
 	s := m.group.settings
 	_ = m.journal.Close()
-	if err := hingejournal.RenewIdentity(m.directory, s.Self, s.Name, above, s.WallClock()); err != nil {
+	if err := hingejournal.RenewIdentity(m.directory, above, s.WallClock()); err != nil {
 		return err
 	}
 	if err := m.openJournal(now, m.open); err != nil {
 		return err
 	}
+	s.Recorder.Record(now, hingeevents.DiskRenewed, hingeevents.Fields{
+		Host:   leader,
+		Detail: s.Name,
+	})
 	return m.startLog(now)
 }
 
+// replaceStaleDisk implements rule 10. It returns without an effect if no leader answers.
+func (g *Group) replaceStaleDisk(ctx context.Context) {
+	if h := g.discoverLeader(ctx).leader; h != "" && h != g.settings.Self {
+		g.renewDisk(ctx, g.Status().Self.Disk, h)
+	}
+}
+
 func (g *Group) onJoin(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
 	var x hingelog.Member
 	if err := cbor.Unmarshal(body, &x); err != nil || x.Host != from {
--- a/internal/agreement/hingegroup/lossplans_test.go
+++ b/internal/agreement/hingegroup/lossplans_test.go
@@ -75,6 +75,11 @@
 		},
 	},
 	killedDuringSync,
+	{
+		name:      "forgetful",
+		losesDisk: true,
+		run:       forget,
+	},
 	{
 		name: "cut",
 		run:  cutOff,
@@ -214,6 +219,28 @@
 	f.restart(id, true, 200*time.Millisecond)
 }
 
+// forget lets a disk lose what was synced after some moment.
+func forget(f *lossFleet, id hingeids.HostID, lasts time.Duration) {
+	x := f.kill(id, false)
+	if x == nil {
+		return
+	}
+	earlier := x.disk.clone()
+	l := f.lose(id, false)
+	f.start(id, x.disk, f.contacts(), false)
+	f.returned(l)
+	time.Sleep(lasts)
+	if f.kill(id, false) == nil {
+		return
+	}
+	f.log("%s forgets %v", id, lasts)
+	l = f.lose(id, true)
+	time.Sleep(200 * time.Millisecond)
+	f.start(id, earlier, f.contacts(), false)
+	f.log("%s is back", id)
+	f.returned(l)
+}
+
 // restart kills a host's process, and starts it again some time later.
 func (f *lossFleet) restart(id hingeids.HostID, losesPower bool, after time.Duration) {
 	x := f.kill(id, losesPower)
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -205,9 +205,6 @@
 			}
 			continue
 		}
-		if m.log.HasStaleDisk() {
-			return ErrStaleDisk
-		}
 	}
 }
 
@@ -290,6 +287,7 @@
 		Status:      m.log.Status(),
 		Applied:     m.applied,
 		LeaderSince: now,
+		StaleDisk:   m.log.HasStaleDisk(),
 		Journal:     m.journal.Totals(),
 	}
 	if last := m.group.Status(); last.Leader == s.Leader && !last.LeaderSince.IsZero() {
--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -26,13 +26,25 @@
 	ticker := time.NewTicker(membershipInterval)
 	defer ticker.Stop()
 	leaderSeenAt := g.settings.Clock()
+	staleSince := time.Time{}
 	for {
 		status := g.Status()
 		now := g.settings.Clock()
+		switch {
+		case !status.StaleDisk:
+			staleSince = time.Time{}
+		case staleSince.IsZero():
+			staleSince = now
+		}
 		if !status.Leader.IsZero() {
 			leaderSeenAt = now
 		}
 		switch {
+		case status.StaleDisk:
+			// A lease from before may count on what this disk answered.
+			if now.Sub(staleSince) >= g.settings.ElectionTimeout {
+				g.replaceStaleDisk(ctx)
+			}
 		case status.LastIndex == 0 && !g.tryBootstrap(ctx):
 			g.requestJoin(ctx)
 		case status.LastIndex == 1:
--- a/internal/agreement/hingejournal/doc.go
+++ b/internal/agreement/hingejournal/doc.go
@@ -29,4 +29,7 @@
 //     cuts off what a failed operation left behind, which was never acknowledged. Between processes this
 //     isn't possible: a frame of the process before may have been acknowledged. If a sync
 //     fails and the process is killed before Reopen, the next one trusts the frame.
+//  9. RenewIdentity makes the disk a new one by replacing the identity, which is one atomic
+//     step. The new identity names the one that it replaces, and Open removes
+//     the files of that: a crash at any point leaves either the old disk or the new one.
 package hingejournal
--- a/internal/agreement/hingejournal/frames.go
+++ b/internal/agreement/hingejournal/frames.go
@@ -42,6 +42,14 @@
 	return binary.BigEndian.Uint64(b[24:]), nil
 }
 
+// headerIdentity returns the identity in a header, zero if there is no whole one.
+func headerIdentity(b []byte) identityHash {
+	if isHeaderDamaged(b) {
+		return 0
+	}
+	return identityHash(binary.BigEndian.Uint64(b[16:]))
+}
+
 // isHeaderDamaged reports whether the file doesn't start with a complete header of
 // any identity.
 func isHeaderDamaged(b []byte) bool {
--- a/internal/agreement/hingejournal/identity.go
+++ b/internal/agreement/hingejournal/identity.go
@@ -19,6 +19,8 @@
 	Host  hingeids.HostID      `cbor:"1,keyasint"`
 	Group string               `cbor:"2,keyasint"`
 	Disk  hingeids.Incarnation `cbor:"3,keyasint"`
+	// Replaces is the identity of the disk whose files this one replaces; zero for a folder that was empty.
+	Replaces identityHash `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -60,32 +62,45 @@
 	return id, true, hingefolder.WriteAtomically(dir, identityFile, encodeIdentity(id))
 }
 
-// RenewIdentity replaces the identity of a folder whose journal is empty by one with
-// a disk incarnation above the given one. Without it, a host whose clock was behind
-// would never be admitted, since its disk would seem older than one that it has lost.
-func RenewIdentity(dir hingefolder.Directory, host hingeids.HostID, group string, above hingeids.Incarnation, now time.Time) error {
-	names, err := dir.List()
+// RenewIdentity turns a folder into a new, empty disk of its host, with an incarnation above the given one. The next
+// Open removes what the disk held (rule 9). It does nothing if the incarnation is above already.
+func RenewIdentity(dir hingefolder.Directory, above hingeids.Incarnation, now time.Time) error {
+	previous, err := readIdentity(dir)
 	if err != nil {
+		return err
+	}
+	if previous.Disk > above {
+		return nil
+	}
+	return hingefolder.WriteAtomically(dir, identityFile, encodeIdentity(Identity{
+		Host:     previous.Host,
+		Group:    previous.Group,
+		Disk:     max(hingeids.Incarnation(now.UnixNano()), above+1),
+		Replaces: previous.identityHash(),
+	}))
+}
+
+// removeReplaced removes the files of the disk that this one replaces. A file without a whole header holds nothing.
+func removeReplaced(dir hingefolder.Directory, id Identity) error {
+	names, err := dir.List()
+	if err != nil || id.Replaces == 0 {
 		return eris.Wrap(err, "list data folder")
 	}
-	// Segments contain the hash of the old identity. They are removed first, so that
-	// a crash in between leaves an empty folder with its old identity.
 	for _, n := range names {
 		if n == identityFile {
 			continue
 		}
-		if err := dir.Remove(n); err != nil {
-			return eris.Wrapf(err, "remove %s", n)
+		b, err := dir.Read(n)
+		if err != nil {
+			return eris.Wrapf(err, "read %s", n)
+		}
+		if isHeaderDamaged(b) && len(b) <= headerSize || headerIdentity(b) == id.Replaces {
+			if err := dir.Remove(n); err != nil {
+				return eris.Wrapf(err, "remove %s", n)
+			}
 		}
 	}
-	if err := dir.Sync(); err != nil {
-		return eris.Wrap(err, "sync data folder")
-	}
-	return hingefolder.WriteAtomically(dir, identityFile, encodeIdentity(Identity{
-		Host:  host,
-		Group: group,
-		Disk:  max(hingeids.Incarnation(now.UnixNano()), above+1),
-	}))
+	return nil
 }
 
 // checkFileNames rejects files that swifthinge didn't create, so that a wrongly configured
@@ -125,6 +140,8 @@
 	return id, nil
 }
 
+// identityHash leaves out Replaces, which earlier versions don't know.
 func (id Identity) identityHash() identityHash {
+	id.Replaces = 0
 	return identityHash(xxhash.Sum64(encodeIdentity(id)))
 }
--- a/internal/agreement/hingejournal/journal.go
+++ b/internal/agreement/hingejournal/journal.go
@@ -91,6 +91,9 @@
 	if err != nil {
 		return nil, Recovered{}, err
 	}
+	if err := removeReplaced(dir, id); err != nil {
+		return nil, Recovered{}, err
+	}
 	j := &Journal{
 		directory:    dir,
 		identity:     id,
--- a/internal/agreement/hingejournal/readback_test.go
+++ b/internal/agreement/hingejournal/readback_test.go
@@ -146,6 +146,59 @@
 	checkHistories(t, func(*readBackHistory) {})
 }
 
+// Guards against a folder that can't be opened, or that holds records of the disk before, after a kill or a power loss at any
+// operation of turning it into a new disk.
+func TestRenewedDiskIsTheOldOneOrEmpty(t *testing.T) {
+	for seed := range uint64(readBackDraws) {
+		h := newReadBackHistory(seed)
+		if err := h.playRenewals(); err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, strings.Join(h.trace, "\n"))
+		}
+	}
+}
+
+func (h *readBackHistory) playRenewals() error {
+	for number := range 1 + h.random.IntN(8) {
+		if err := h.playProcess(number); err != nil {
+			return err
+		}
+		if h.journal != nil && h.random.IntN(2) == 0 {
+			if err := h.renew(); err != nil {
+				return err
+			}
+		}
+		h.journal = nil
+		if h.random.IntN(2) == 0 {
+			h.tracef("killed")
+			h.disk.Kill()
+		} else {
+			h.tracef("power lost")
+			h.disk.LosePower()
+		}
+	}
+	return h.start()
+}
+
+func (h *readBackHistory) renew() error {
+	previous := h.journal.identity.Disk
+	h.attempted = "|"
+	err := RenewIdentity(h.disk, previous, now)
+	h.tracef("renew: %v", err)
+	if err != nil {
+		return nil
+	}
+	h.held = h.attempted
+	h.journal = nil
+	if err := h.start(); err != nil || h.journal == nil {
+		return err
+	}
+	if h.journal.identity.Disk <= previous {
+		return fmt.Errorf("the new disk %d isn't newer than %d", h.journal.identity.Disk, previous)
+	}
+	h.write(0)
+	return nil
+}
+
 // Guards against a record whose write or sync failed, which the journal reads back in the same process and takes for
 // durable: the kernel counts it as written, no later sync writes it, and a loss of power takes it with all that follows.
 func TestFailedWritesAreNotReadBack(t *testing.T) {
--- a/internal/observe/hingeevents/log.go
+++ b/internal/observe/hingeevents/log.go
@@ -22,6 +22,7 @@
 	ConfigUnreadable Number = 216
 	ConfigReadable   Number = 217
 	JournalOpened    Number = 218
+	DiskRenewed      Number = 219
 )
 
 var logEntries = []Entry{
@@ -72,7 +73,8 @@
 		Name:        "diskForgetful",
 		Severity:    Failure,
 		Description: "This host's disk has lost data: host knows that it held more than it does now. Detail has both.",
-		Action:      "Move the group's folder away and start the process: the host rejoins with a new disk.",
+		Action: "Look at the disk: it has lost synced data, or was restored from a copy. The host rejoins by itself (219) once the " +
+			"others have a leader. If they don't, keep the folder, and bring back the host that is named.",
 	},
 	{
 		Number:      JournalCut,
@@ -143,4 +145,11 @@
 		Severity:    Info,
 		Description: "A group's journal was read back at a start or after a failed write, in tookMs; count is its last entry, fence its term.",
 	},
+	{
+		Number:   DiskRenewed,
+		Name:     "diskRenewed",
+		Severity: Warning,
+		Description: "This host's disk became a new, empty one, and joins again: it had lost data, and host leads a quorum without it; " +
+			"or, without a host, it was empty and looked older than the disk before.",
+	},
 }
