hingegroup: the first start is written down on the claimed disk, and founders don't wait for each other

All control processes are killed 0.24 s after the system's first start and are back half a second later: nobody founds the group any more, and no request is ever served.

Cause: 'bootstrap' is true at the first start only, it was kept in memory, and the founding needed an answer 'empty' of each configured host.

A founder that is killed goes on from its disk. Two of three founders' disks are enough for a leader; the third host, whether it was killed before it claimed its disk, lost or replaced, joins as any new disk does. Never two groups: each quorum has a majority of the founders' disks, and a host that lost its disk claims the next one with another incarnation (rule 7). 'swifthinge serve' isn't told of a first start and keeps its way.

Red before: TestFoundersKilledDuringTheFirstStart, TestFounderLostBeforeTheFirstLeader ('no leader is known, for 7s').

--- a/internal/agreement/hingegroup/bootstrap.go
+++ b/internal/agreement/hingegroup/bootstrap.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
@@ -17,22 +18,20 @@
 type diskState struct {
 	Member hingelog.Member `cbor:"1,keyasint"`
 	Empty  bool            `cbor:"2,keyasint"`
-	// JoinOnly is Settings.JoinOnly: the host doesn't bootstrap the group.
-	JoinOnly bool `cbor:"3,keyasint,omitempty"`
 }
 
 // tryBootstrap implements rule 3.
 func (g *Group) tryBootstrap(ctx context.Context) bool {
 	hosts := slices.Clone(g.settings.Hosts)
 	slices.Sort(hosts)
-	if g.settings.JoinOnly || len(hosts) == 0 {
+	if g.settings.Open || len(hosts) == 0 {
 		return false
 	}
 	var voters []hingelog.Member
 	for _, h := range hosts {
 		state, err := g.queryDiskState(ctx, h)
 		// Only one host bootstraps: the first that may.
-		if err != nil || !state.Empty || h < g.settings.Self && !state.JoinOnly {
+		if err != nil || !state.Empty || h < g.settings.Self {
 			return false
 		}
 		voters = append(voters, state.Member)
@@ -72,8 +71,6 @@
 	return diskState{
 		Member: m.self,
 		Empty:  m.log.Status().LastIndex == 0,
-
-		JoinOnly: m.group.settings.JoinOnly,
 	}
 }
 
@@ -82,6 +79,29 @@
 	if m.log.Status().LastIndex > 0 || !members.HasVoter(m.self) {
 		return eris.New("bootstrap refused: this disk isn't empty or isn't among the voters")
 	}
+	if err := m.storeBootstrap(now, members); err != nil {
+		return err
+	}
+	return m.startLog(now)
+}
+
+// found implements rule 7 on a disk that holds nothing yet.
+func (m *member) found(now time.Time) error {
+	if len(m.founders) == 0 || m.stored.Last().Index > 0 {
+		return nil
+	}
+	var members hingelog.Members
+	for _, h := range m.founders {
+		members.Voters = append(members.Voters, hingelog.Member{
+			Host: h,
+			Disk: hingejournal.FoundersDisk,
+		})
+	}
+	return m.storeBootstrap(now, members)
+}
+
+// storeBootstrap stores the group's first state, which is the same on all hosts that have the same members.
+func (m *member) storeBootstrap(now time.Time, members hingelog.Members) error {
 	d := hingelog.DurableState{
 		HardState: hingelog.HardState{
 			Term: 1,
@@ -107,7 +127,7 @@
 		Count:  int64(len(members.Voters)),
 		Detail: m.group.settings.Name,
 	})
-	return m.startLog(now)
+	return nil
 }
 
 // propagateBootstrap sends the bootstrap members to the other voters unless there is
--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -9,8 +9,8 @@
 //  2. Messages that fit into a datagram are sent as one, larger ones as calls through a
 //     bounded queue for each peer. A message that finds the queue full is dropped;
 //     the log sends it again.
-//  3. A group is bootstrapped once, by the host whose name sorts first among those with
-//     a disk that don't only join, and only if all of them report an empty disk. The bootstrap snapshot names
+//  3. A closed group is bootstrapped once, by the host whose name sorts first among the configured ones,
+//     and only if all of them report an empty disk. The bootstrap snapshot names
 //     their disks as voters. Every host that has it sends it to the others until a
 //     leader is known. A host that lost its disk can't bootstrap a second group while
 //     any other disk still holds the first.
@@ -25,9 +25,13 @@
 //  6. Read requests the committed index from the leader, which answers under its lease,
 //     and waits until the local state machine has applied that index.
 //  7. In an open group hosts join without an operator, and the leader keeps the number
-//     of voters (hingelog rule 13). A host that belonged to a bootstrapped group before
-//     may only join: it could otherwise bootstrap a second group once all
-//     disks are empty.
+//     of voters (hingelog rule 13). It is bootstrapped by the founders: the configured hosts that start
+//     for the first time. Each claims its empty disk with the incarnation that all founders' disks have, writes
+//     the founders down with it, and stores the bootstrap snapshot, which is the same at all of them, without
+//     asking the others. A founder that is killed meanwhile goes on from its disk at its next start.
+//     There is one group, since each quorum has a majority of the founders' disks, and a
+//     founder that lost its disk claims the next one with another incarnation, so that it can't vote twice.
+//     Hosts that start later only join.
 //  8. A failed write doesn't end the process. What it left on the disk is unknown, so the
 //     member discards its state in memory and restarts from what the journal has acknowledged
 //     once writes succeed again. Until then it neither votes nor leads.
--- /dev/null
+++ b/internal/agreement/hingegroup/founding_test.go
@@ -0,0 +1,79 @@
+package hingegroup
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/link/hingefake"
+)
+
+// withUnstartedGroup runs f with a group of which no host has started.
+func withUnstartedGroup(t *testing.T, f func(g *openGroup)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &openGroup{
+			t:       t,
+			seeds:   seeds,
+			network: hingefake.NewNetwork(),
+			hosts:   make(map[hingeids.HostID]*openHost),
+		}
+		defer func() {
+			for id := range g.hosts {
+				g.kill(id)
+			}
+		}()
+		f(g)
+	})
+}
+
+// Guards against a system that nobody founds any more once all processes were killed during its first start: at the second
+// start no host is told any longer that it is the first.
+func TestFoundersKilledDuringTheFirstStart(t *testing.T) {
+	for _, late := range seeds {
+		withUnstartedGroup(t, func(g *openGroup) {
+			disks := map[hingeids.HostID]*fillableDisk{
+				late: {
+					memoryDisk: newMemoryDisk(),
+				},
+			}
+			for _, id := range seeds {
+				if id != late {
+					disks[id] = g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, true).disk
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			for id := range g.hosts {
+				g.kill(id)
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, id := range seeds {
+				g.start(id, disks[id], false)
+			}
+			time.Sleep(contactTime)
+			g.mustChange(late, 1)
+		})
+	}
+}
+
+// Guards against a system that isn't founded because one of the configured hosts is lost for good before it, and is replaced at an
+// address that the others don't know.
+func TestFounderLostBeforeTheFirstLeader(t *testing.T) {
+	for _, lost := range seeds {
+		withUnstartedGroup(t, func(g *openGroup) {
+			for _, id := range seeds {
+				if id != lost {
+					g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, true)
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+			g.start("core-4", &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+			time.Sleep(contactTime)
+			g.mustChange("core-4", 1)
+			time.Sleep(DefaultCatchUp)
+			if s := g.hosts["core-4"].group.Status(); !s.Members.HasVoter(s.Self) {
+				g.t.Fatalf("the replacement of %s has no vote: %+v", lost, s.Members)
+			}
+		})
+	}
+}
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -85,6 +85,16 @@
 	return max(s.CatchUp/4, 2*s.ElectionTimeout)
 }
 
+// founders returns the hosts that found the group, or none if this host only joins (rule 7).
+func (s Settings) founders() []hingeids.HostID {
+	if !s.Open || s.JoinOnly || !slices.Contains(s.Hosts, s.Self) {
+		return nil
+	}
+	list := slices.Clone(s.Hosts)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 func (s Settings) withDefaults() Settings {
 	if s.ElectionTimeout == 0 {
 		s.ElectionTimeout = hingelog.DefaultElectionTimeout
--- a/internal/agreement/hingegroup/join.go
+++ b/internal/agreement/hingegroup/join.go
@@ -95,14 +95,11 @@
 	if err := hingejournal.RenewIdentity(m.directory, above, s.WallClock()); err != nil {
 		return err
 	}
-	if err := m.openJournal(now, m.open); err != nil {
-		return err
-	}
 	s.Recorder.Record(now, hingeevents.DiskRenewed, hingeevents.Fields{
 		Host:   leader,
 		Detail: s.Name,
 	})
-	return m.startLog(now)
+	return m.restart(now, m.open)
 }
 
 // replaceStaleDisk implements rule 10. It returns without an effect if no leader answers.
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -10,17 +10,20 @@
 	"github.com/swifthinge/swifthinge/internal/agreement/hingejournal"
 	"github.com/swifthinge/swifthinge/internal/agreement/hingelog"
 	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 	"github.com/swifthinge/swifthinge/internal/observe/hingeevents"
 )
 
 // member is the state of a host with a disk. Only the loop uses it.
 type member struct {
-	group         *Group
-	self          hingelog.Member
-	directory     hingefolder.Directory
-	journal       *hingejournal.Journal
-	log           *hingelog.Log
-	stored        hingelog.DurableState
+	group     *Group
+	self      hingelog.Member
+	directory hingefolder.Directory
+	journal   *hingejournal.Journal
+	log       *hingelog.Log
+	stored    hingelog.DurableState
+	// founders are the hosts that found the group with this disk; empty on a disk of a later start.
+	founders      []hingeids.HostID
 	applied       hingelog.Index
 	snapshotIndex hingelog.Index
 	members       hingelog.Members
@@ -50,17 +53,29 @@
 		waiters:   make(map[hingelog.Index]waiter),
 		admitted:  make(map[string]bool),
 	}
-	if err := m.openJournal(now, m.open); err != nil {
-		return nil, err
+	return m, m.restart(now, m.open)
+}
+
+// restart opens the journal and starts the log from it.
+func (m *member) restart(now time.Time, open openFunc) error {
+	if err := m.openJournal(now, open); err != nil {
+		return err
 	}
-	return m, m.startLog(now)
+	if err := m.found(now); err != nil {
+		return err
+	}
+	return m.startLog(now)
 }
 
 // openFunc opens the journal at a time of day.
 type openFunc func(now time.Time) (*hingejournal.Journal, hingejournal.Recovered, error)
 
 func (m *member) open(now time.Time) (*hingejournal.Journal, hingejournal.Recovered, error) {
-	return hingejournal.Open(m.directory, m.group.settings.Self, m.group.settings.Name, now)
+	return hingejournal.Open(m.directory, hingejournal.Claim{
+		Host:     m.group.settings.Self,
+		Group:    m.group.settings.Name,
+		Founders: m.group.settings.founders(),
+	}, now)
 }
 
 func (m *member) openJournal(now time.Time, open openFunc) error {
@@ -81,6 +96,7 @@
 	}
 	m.journal = j
 	m.stored = stored
+	m.founders = recovered.Identity.Founders
 	s.Recorder.Record(now, hingeevents.JournalOpened, hingeevents.Fields{
 		Fence:   fence(stored.HardState.Term),
 		Count:   int64(stored.Last().Index),
@@ -112,11 +128,11 @@
 		case <-time.After(reopenInterval):
 		}
 		now := m.group.settings.Clock()
-		if err := m.openJournal(now, m.journal.Reopen); err != nil {
+		if err := m.restart(now, m.journal.Reopen); err != nil {
 			m.recordFailure(now, err)
 			continue
 		}
-		return m.startLog(now)
+		return nil
 	}
 }
 
--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -47,7 +47,7 @@
 			}
 		case status.LastIndex == 0 && !g.tryBootstrap(ctx):
 			g.requestJoin(ctx)
-		case status.LastIndex == 1:
+		case status.LastIndex == 1 && !g.settings.Open:
 			g.propagateBootstrap(ctx)
 		case status.LastIndex > 1 && !status.Members.Has(status.Self):
 			g.requestJoin(ctx)
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -358,8 +358,8 @@
 	})
 }
 
-// A host that is restarted before the group was bootstrapped may only join from then on. Another one must bootstrap
-// the group, or no configuration is ever accepted.
+// A host that is restarted before another founder has started isn't told any more that this is the first start. The group must be bootstrapped
+// all the same, or no configuration is ever accepted.
 func TestHostRestartedBeforeTheBootstrap(t *testing.T) {
 	for _, restarted := range seeds {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/agreement/hingejournal/identity.go
+++ b/internal/agreement/hingejournal/identity.go
@@ -14,6 +14,18 @@
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
+// Claim is what a host writes into the identity of an empty folder.
+type Claim struct {
+	Host  hingeids.HostID
+	Group string
+	// Founders are the hosts that found the group, this one among them; empty unless it starts for the first time.
+	Founders []hingeids.HostID
+}
+
+// FoundersDisk is the incarnation of all disks that are claimed with Founders. Each founder knows the others' disks by it
+// without having heard of them. A disk that is claimed later has a time of day instead, which is far above.
+const FoundersDisk hingeids.Incarnation = 1
+
 // Identity identifies the owner of a folder. It is stored in the folder.
 type Identity struct {
 	Host  hingeids.HostID      `cbor:"1,keyasint"`
@@ -21,6 +33,8 @@
 	Disk  hingeids.Incarnation `cbor:"3,keyasint"`
 	// Replaces is the identity of the disk whose files this one replaces; zero for a folder that was empty.
 	Replaces identityHash `cbor:"4,keyasint,omitempty"`
+	// Founders are those of the claim.
+	Founders []hingeids.HostID `cbor:"5,keyasint,omitempty"`
 }
 
 const (
@@ -30,7 +44,7 @@
 )
 
 // The result is true if the identity was created, in an empty folder.
-func loadOrCreateIdentity(dir hingefolder.Directory, host hingeids.HostID, group string, now time.Time) (Identity, bool, error) {
+func loadOrCreateIdentity(dir hingefolder.Directory, c Claim, now time.Time) (Identity, bool, error) {
 	names, err := dir.List()
 	if err != nil {
 		return Identity{}, false, eris.Wrap(err, "list data folder")
@@ -43,9 +57,9 @@
 		if err != nil {
 			return Identity{}, false, err
 		}
-		if id.Host != host || id.Group != group {
+		if id.Host != c.Host || id.Group != c.Group {
 			return Identity{}, false, eris.Errorf("file %s belongs to host %s, group %s; this is host %s, group %s",
-				identityFile, id.Host, id.Group, host, group)
+				identityFile, id.Host, id.Group, c.Host, c.Group)
 		}
 		return id, false, nil
 	}
@@ -55,9 +69,13 @@
 		}
 	}
 	id := Identity{
-		Host:  host,
-		Group: group,
-		Disk:  hingeids.Incarnation(now.UnixNano()),
+		Host:     c.Host,
+		Group:    c.Group,
+		Disk:     hingeids.Incarnation(now.UnixNano()),
+		Founders: c.Founders,
+	}
+	if len(c.Founders) > 0 {
+		id.Disk = FoundersDisk
 	}
 	return id, true, hingefolder.WriteAtomically(dir, identityFile, encodeIdentity(id))
 }
@@ -140,8 +158,9 @@
 	return id, nil
 }
 
-// identityHash leaves out Replaces, which earlier versions don't know.
+// identityHash leaves out the fields that earlier versions don't know.
 func (id Identity) identityHash() identityHash {
 	id.Replaces = 0
+	id.Founders = nil
 	return identityHash(xxhash.Sum64(encodeIdentity(id)))
 }
--- a/internal/agreement/hingejournal/journal.go
+++ b/internal/agreement/hingejournal/journal.go
@@ -9,7 +9,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
-	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
 // segmentLimit is the size in bytes above which a new segment is started. Open reads
@@ -55,15 +54,19 @@
 
 // Open opens the journal of a host's group, or creates it in an empty folder with a disk
 // incarnation derived from now. What it returns is durable.
-func Open(dir hingefolder.Directory, host hingeids.HostID, group string, now time.Time) (*Journal, Recovered, error) {
-	return openFolder(dir, host, group, now, nil)
+func Open(dir hingefolder.Directory, c Claim, now time.Time) (*Journal, Recovered, error) {
+	return openFolder(dir, c, now, nil)
 }
 
 // Reopen opens a journal again after a failed write or sync, without what the failed operation left in
 // the folder (rule 8). It may be called again after an error.
 func (j *Journal) Reopen(now time.Time) (*Journal, Recovered, error) {
 	_ = j.Close()
-	return openFolder(j.directory, j.identity.Host, j.identity.Group, now, &logEnd{
+	claim := Claim{
+		Host:  j.identity.Host,
+		Group: j.identity.Group,
+	}
+	return openFolder(j.directory, claim, now, &logEnd{
 		segment: j.segmentName,
 		size:    j.segmentSize,
 	})
@@ -75,9 +78,7 @@
 	size    int64
 }
 
-func openFolder(
-	dir hingefolder.Directory, host hingeids.HostID, group string, now time.Time, end *logEnd,
-) (*Journal, Recovered, error) {
+func openFolder(dir hingefolder.Directory, c Claim, now time.Time, end *logEnd) (*Journal, Recovered, error) {
 	if end != nil {
 		if err := end.discardRest(dir); err != nil {
 			return nil, Recovered{}, err
@@ -87,7 +88,7 @@
 	if err := dir.Sync(); err != nil {
 		return nil, Recovered{}, eris.Wrap(err, "sync data folder")
 	}
-	id, newDisk, err := loadOrCreateIdentity(dir, host, group, now)
+	id, newDisk, err := loadOrCreateIdentity(dir, c, now)
 	if err != nil {
 		return nil, Recovered{}, err
 	}
--- a/internal/agreement/hingejournal/journal_test.go
+++ b/internal/agreement/hingejournal/journal_test.go
@@ -12,12 +12,20 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingefakedisk"
 	"github.com/swifthinge/swifthinge/internal/core/hingefolder"
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
 var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+func claimOf(h hingeids.HostID) Claim {
+	return Claim{
+		Host:  h,
+		Group: "config",
+	}
+}
+
 func open(f hingefolder.Directory) (*Journal, Recovered, error) {
-	return Open(f, "cancale-1", "config", now)
+	return Open(f, claimOf("cancale-1"), now)
 }
 
 func mustOpen(t interface{ Fatal(...any) }, f hingefolder.Directory) (*Journal, Recovered) {
@@ -135,7 +143,7 @@
 		"file of another disk": {
 			damage: func(d *hingefakedisk.Disk) {
 				other := hingefakedisk.New(2)
-				if _, _, err := Open(other, "cancale-1", "config", now.Add(1)); err != nil {
+				if _, _, err := Open(other, claimOf("cancale-1"), now.Add(1)); err != nil {
 					panic(err)
 				}
 				b, _ := other.Read("0000000000000001.segment")
@@ -187,7 +195,7 @@
 func TestFolderOfAnotherHostIsRefused(t *testing.T) {
 	d := hingefakedisk.New(1)
 	mustOpen(t, d)
-	_, _, err := Open(d, "roscoff-1", "config", now)
+	_, _, err := Open(d, claimOf("roscoff-1"), now)
 	if err == nil || !strings.Contains(err.Error(), "belongs to host cancale-1") {
 		t.Fatalf("got %v", err)
 	}
--- a/internal/observe/hingeevents/log.go
+++ b/internal/observe/hingeevents/log.go
@@ -93,7 +93,7 @@
 		Number:      GroupFounded,
 		Name:        "groupFounded",
 		Severity:    Info,
-		Description: "The disks of all disk hosts were empty, and the hosts created the group.",
+		Description: "This host's disk was empty, and the host stored the first state of the group; count is the number of voters.",
 	},
 	{
 		Number:      RevisionFromPeer,
