hingegroup: a system whose processes were all killed before they claimed a disk is founded late

Nothing on any disk tells them from hosts that lost everything later.

A majority of the configured hosts, all if they answer within a second, must state twice the same disks and configured hosts, and hold and know of no group; entry hosts that have a configuration count as knowing one, so that a system that lost all its disks is not founded over. The first by name then proposes their disks as voters. Why there is at most one group stands in rule 11: two majorities of one list share a host, which stores one proposal at most, and only for the last round that it answered; the proposer stores last. Founders' disks that are left must be too few for their own group.

--- a/internal/agreement/hingegroup/bootstrap.go
+++ b/internal/agreement/hingegroup/bootstrap.go
@@ -79,7 +79,7 @@
 	if m.log.Status().LastIndex > 0 || !members.HasVoter(m.self) {
 		return eris.New("bootstrap refused: this disk isn't empty or isn't among the voters")
 	}
-	if err := m.storeBootstrap(now, members); err != nil {
+	if err := m.storeBootstrap(now, foundersTerm, members); err != nil {
 		return err
 	}
 	return m.startLog(now)
@@ -97,18 +97,21 @@
 			Disk: hingejournal.FoundersDisk,
 		})
 	}
-	return m.storeBootstrap(now, members)
+	return m.storeBootstrap(now, foundersTerm, members)
 }
 
+// foundersTerm is the term of the first state that founders store.
+const foundersTerm hingelog.Term = 1
+
 // storeBootstrap stores the group's first state, which is the same on all hosts that have the same members.
-func (m *member) storeBootstrap(now time.Time, members hingelog.Members) error {
+func (m *member) storeBootstrap(now time.Time, term hingelog.Term, members hingelog.Members) error {
 	d := hingelog.DurableState{
 		HardState: hingelog.HardState{
-			Term: 1,
+			Term: term,
 		},
 		Snapshot: hingelog.Snapshot{
 			At: hingelog.Position{
-				Term:  1,
+				Term:  term,
 				Index: 1,
 			},
 			Members: members,
--- a/internal/agreement/hingegroup/founding_test.go
+++ b/internal/agreement/hingegroup/founding_test.go
@@ -77,3 +77,38 @@
 		})
 	}
 }
+
+// startEmpty starts all configured hosts with empty disks, none of them told that the system starts for the first time.
+func (g *openGroup) startEmpty() map[hingeids.HostID]*fillableDisk {
+	disks := make(map[hingeids.HostID]*fillableDisk)
+	for _, id := range seeds {
+		disks[id] = g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, false).disk
+	}
+	return disks
+}
+
+// Guards against a system that nobody founds because all processes were killed during the first start before any of them had
+// claimed its disk.
+func TestFoundersKilledBeforeTheyClaimTheirDisks(t *testing.T) {
+	withUnstartedGroup(t, func(g *openGroup) {
+		g.startEmpty()
+		time.Sleep(contactTime)
+		g.mustChange(seeds[0], 1)
+	})
+}
+
+// Guards against a second group beside one that these hosts can't see: a follower of theirs has a configuration.
+func TestNoLateBootstrapBesideAGroup(t *testing.T) {
+	withUnstartedGroup(t, func(g *openGroup) {
+		g.isStarted = func() bool {
+			return true
+		}
+		g.startEmpty()
+		time.Sleep(10 * time.Second)
+		for id, x := range g.hosts {
+			if s := x.group.Status(); s.LastIndex > 0 {
+				g.t.Errorf("%s holds a group: %+v", id, s.Status)
+			}
+		}
+	})
+}
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -38,6 +38,9 @@
 	Open bool
 	// JoinOnly reports that the group was bootstrapped before, so this host may only join.
 	JoinOnly bool
+	// IsStarted reports that other hosts have state of the group, so that it must not be bootstrapped again
+	// (rule 11). It may be nil, and must be safe for concurrent use.
+	IsStarted func() bool
 	// Voters is the number of voters to keep; zero means all members (hingelog rule 13).
 	Voters int
 	// CatchUp is the time after the start of a replacement within which it must have the vote of the lost
@@ -90,9 +93,7 @@
 	if !s.Open || s.JoinOnly || !slices.Contains(s.Hosts, s.Self) {
 		return nil
 	}
-	list := slices.Clone(s.Hosts)
-	slices.Sort(list)
-	return slices.Compact(list)
+	return sorted(s.Hosts)
 }
 
 func (s Settings) withDefaults() Settings {
--- a/internal/agreement/hingegroup/handlers.go
+++ b/internal/agreement/hingegroup/handlers.go
@@ -30,6 +30,8 @@
 	}
 	g.link.HandleCall(g.method("empty"), g.onDiskState)
 	g.link.HandleCall(g.method("found"), g.onBootstrap)
+	g.link.HandleCall(g.method("bootstrapState"), g.onBootstrapQuery)
+	g.link.HandleCall(g.method("bootstrapLate"), g.onLateBootstrap)
 	g.link.HandleCall(g.method("join"), func(ctx context.Context, from hingeids.HostID, body []byte) ([]byte, error) {
 		var x hingelog.Member
 		if err := cbor.Unmarshal(body, &x); err == nil && x.Host == from {
--- a/internal/agreement/hingegroup/join.go
+++ b/internal/agreement/hingegroup/join.go
@@ -81,10 +81,11 @@
 }
 
 // renewDisk restarts the member with a new, empty disk. It does nothing unless the
-// disk is empty or stale, and not newer already, since a new incarnation isn't bound by what the
+// disk is empty, stale or holds a late bootstrap alone, and isn't newer already, since a new incarnation isn't bound by what the
 // old one has confirmed.
 func (m *member) renewDisk(now time.Time, above hingeids.Incarnation, leader hingeids.HostID) error {
-	if m.log.Status().LastIndex > 0 && !m.log.HasStaleDisk() || m.self.Disk > above {
+	hasContent := m.log.Status().LastIndex > 0 && !m.log.HasStaleDisk() && !m.holdsLateBootstrap()
+	if hasContent || m.self.Disk > above {
 		return nil
 	}
 	// As in reopen: the state that follows is older.
@@ -102,8 +103,9 @@
 	return m.restart(now, m.open)
 }
 
-// replaceStaleDisk implements rule 10. It returns without an effect if no leader answers.
-func (g *Group) replaceStaleDisk(ctx context.Context) {
+// replaceDisk implements rule 10, also for a disk that holds a late bootstrap which hasn't taken effect. It returns without an
+// effect if no leader answers.
+func (g *Group) replaceDisk(ctx context.Context) {
 	if h := g.discoverLeader(ctx).leader; h != "" && h != g.settings.Self {
 		g.renewDisk(ctx, g.Status().Self.Disk, h)
 	}
--- a/internal/agreement/hingegroup/losses_test.go
+++ b/internal/agreement/hingegroup/losses_test.go
@@ -40,6 +40,8 @@
 	group   *Group
 	stop    context.CancelFunc
 	runErr  chan error
+	// opened is closed once the process has opened its journal or was killed before.
+	opened chan struct{}
 	// readableSince is the time of the first good read after the last one that failed.
 	readableSince time.Time
 }
@@ -80,6 +82,8 @@
 	// order has the hosts in service, also those that are down.
 	order []hingeids.HostID
 	hosts map[hingeids.HostID]*lossHost
+	// opening are the hosts whose process opens its journal.
+	opening map[hingeids.HostID]*lossHost
 	// wallOffset is by how much the time of day of a host is wrong.
 	wallOffset map[hingeids.HostID]time.Duration
 	busy       map[hingeids.HostID]bool
@@ -107,33 +111,52 @@
 	trace []string
 }
 
+// newLossFleet returns a fleet whose hosts have names and haven't started.
+func newLossFleet(t *testing.T, hosts int, seed uint64) *lossFleet {
+	voters := min(hosts, 5)
+	f := &lossFleet{
+		t:            t,
+		wires:        newWires(),
+		hostsAtStart: hosts,
+		voters:       voters,
+		tolerated:    (voters - 1) / 2,
+		catchUp:      time.Duration(envInt("LOSSES_CATCH_UP_MS", int(catchUpTime.Milliseconds()))) * time.Millisecond,
+		literal:      os.Getenv("LOSSES_LITERAL") != "",
+		ended:        make(chan struct{}),
+		plan:         newDraws(seed, 14),
+		random:       newDraws(seed, 15),
+		starts:       seed << 16,
+		hosts:        make(map[hingeids.HostID]*lossHost),
+		opening:      make(map[hingeids.HostID]*lossHost),
+		zones:        make(map[hingeids.HostID]hingeids.Zone),
+		wallOffset:   make(map[hingeids.HostID]time.Duration),
+		busy:         make(map[hingeids.HostID]bool),
+		pending:      make(map[hingeids.HostID]bool),
+		refused:      make(map[hingeversion.Version]bool),
+		changed:      make(chan struct{}),
+	}
+	for range hosts {
+		f.order = append(f.order, f.newID())
+	}
+	return f
+}
+
+// end stops all processes.
+func (f *lossFleet) end() {
+	if f.t.Failed() {
+		f.t.Logf("hosts %d:\n%s", f.hostsAtStart, f.describe())
+	}
+	close(f.ended)
+	for _, id := range f.running() {
+		f.kill(id, false)
+	}
+	f.operators.Wait()
+}
+
 // runLossFleet runs f in a bubble with a fake clock, with a fleet whose votes are assigned.
 func runLossFleet(t *testing.T, hosts int, seed uint64, f func(f *lossFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		voters := min(hosts, 5)
-		g := &lossFleet{
-			t:            t,
-			wires:        newWires(),
-			hostsAtStart: hosts,
-			voters:       voters,
-			tolerated:    (voters - 1) / 2,
-			catchUp:      time.Duration(envInt("LOSSES_CATCH_UP_MS", int(catchUpTime.Milliseconds()))) * time.Millisecond,
-			literal:      os.Getenv("LOSSES_LITERAL") != "",
-			ended:        make(chan struct{}),
-			plan:         newDraws(seed, 14),
-			random:       newDraws(seed, 15),
-			starts:       seed << 16,
-			hosts:        make(map[hingeids.HostID]*lossHost),
-			zones:        make(map[hingeids.HostID]hingeids.Zone),
-			wallOffset:   make(map[hingeids.HostID]time.Duration),
-			busy:         make(map[hingeids.HostID]bool),
-			pending:      make(map[hingeids.HostID]bool),
-			refused:      make(map[hingeversion.Version]bool),
-			changed:      make(chan struct{}),
-		}
-		for range hosts {
-			g.order = append(g.order, g.newID())
-		}
+		g := newLossFleet(t, hosts, seed)
 		contacts := slices.Clone(g.order[:3])
 		for _, id := range g.order {
 			g.start(id, newFaultyDisk(), contacts, true)
@@ -151,14 +174,7 @@
 		time.Sleep(time.Second)
 		g.resetUnreadable()
 		f(g)
-		if t.Failed() {
-			t.Logf("hosts %d, seed %d:\n%s", hosts, seed, g.describe())
-		}
-		close(g.ended)
-		for _, id := range g.running() {
-			g.kill(id, false)
-		}
-		g.operators.Wait()
+		g.end()
 	})
 }
 
@@ -230,17 +246,20 @@
 
 // start starts a host's process. Its disk may be full at first.
 func (f *lossFleet) start(id hingeids.HostID, disk *faultyDisk, contacts []hingeids.HostID, bootstraps bool) {
-	f.mu.Lock()
-	f.starts++
-	seed := f.starts
-	f.mu.Unlock()
 	x := &lossHost{
 		id:      id,
 		disk:    disk,
 		process: newProcess(),
 		machine: hingeversion.New(),
 		runErr:  make(chan error, 1),
+		opened:  make(chan struct{}),
 	}
+	defer close(x.opened)
+	f.mu.Lock()
+	f.starts++
+	seed := f.starts
+	f.opening[id] = x
+	f.mu.Unlock()
 	link := f.wires.link(id, x.process)
 	settings := Settings{
 		Name:              "config",
@@ -271,16 +290,23 @@
 		if x.group, err = New(settings, link, view, x.machine); err == nil {
 			break
 		}
+		if x.process.isDead() {
+			return
+		}
 		time.Sleep(250 * time.Millisecond)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.opening, id)
+	if x.process.isDead() {
+		return
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	x.stop = stop
 	go func() {
 		x.runErr <- x.group.Run(ctx)
 	}()
 	go f.readAt(x)
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.hosts[id] = x
 }
 
@@ -289,6 +315,10 @@
 	f.mu.Lock()
 	x := f.hosts[id]
 	delete(f.hosts, id)
+	if opening := f.opening[id]; opening != nil {
+		f.mu.Unlock()
+		return f.killOpening(opening, losesPower)
+	}
 	f.mu.Unlock()
 	if x == nil {
 		return nil
@@ -305,6 +335,20 @@
 	return x
 }
 
+// killOpening ends a process that opens its journal.
+func (f *lossFleet) killOpening(x *lossHost, losesPower bool) *lossHost {
+	f.wires.remove(x.id)
+	close(x.process.dead)
+	<-x.opened
+	f.mu.Lock()
+	delete(f.opening, x.id)
+	f.mu.Unlock()
+	if losesPower {
+		x.disk.losePower(f.random)
+	}
+	return x
+}
+
 func contentOf(v hingeversion.Version) string {
 	return fmt.Sprintf("routes of version %d", v)
 }
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -23,13 +23,15 @@
 	log       *hingelog.Log
 	stored    hingelog.DurableState
 	// founders are the hosts that found the group with this disk; empty on a disk of a later start.
-	founders      []hingeids.HostID
-	applied       hingelog.Index
-	snapshotIndex hingelog.Index
-	members       hingelog.Members
-	waiters       map[hingelog.Index]waiter
-	admitted      map[string]bool
-	batch         []submission
+	founders []hingeids.HostID
+	// bootstrapRound is the round of a late bootstrap that this host has answered last.
+	bootstrapRound uint64
+	applied        hingelog.Index
+	snapshotIndex  hingelog.Index
+	members        hingelog.Members
+	waiters        map[hingelog.Index]waiter
+	admitted       map[string]bool
+	batch          []submission
 }
 
 // The waiter's entry is in the log, but isn't committed yet.
--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -27,6 +27,7 @@
 	defer ticker.Stop()
 	leaderSeenAt := g.settings.Clock()
 	staleSince := time.Time{}
+	var round bootstrapRound
 	for {
 		status := g.Status()
 		now := g.settings.Clock()
@@ -39,11 +40,15 @@
 		if !status.Leader.IsZero() {
 			leaderSeenAt = now
 		}
+		if g.settings.Open && status.LastIndex <= 1 && status.Leader.IsZero() {
+			g.propagateLateBootstrap(ctx)
+			round = g.tryLateBootstrap(ctx, round)
+		}
 		switch {
 		case status.StaleDisk:
 			// A lease from before may count on what this disk answered.
 			if now.Sub(staleSince) >= g.settings.ElectionTimeout {
-				g.replaceStaleDisk(ctx)
+				g.replaceDisk(ctx)
 			}
 		case status.LastIndex == 0 && !g.tryBootstrap(ctx):
 			g.requestJoin(ctx)
@@ -52,6 +57,10 @@
 		case status.LastIndex > 1 && !status.Members.Has(status.Self):
 			g.requestJoin(ctx)
 		case g.settings.Open && now.Sub(leaderSeenAt) > rejoinAfterElections*g.settings.ElectionTimeout:
+			if status.LastIndex == 1 {
+				// The others may have a group that this host's late bootstrap knows nothing of.
+				g.replaceDisk(ctx)
+			}
 			// This member may have been removed while it was down (hingelog rule 13). Its
 			// own log doesn't show that, and the others send it no further entries.
 			g.requestJoin(ctx)
--- a/internal/agreement/hingegroup/open_test.go
+++ b/internal/agreement/hingegroup/open_test.go
@@ -70,6 +70,10 @@
 	zones   map[hingeids.HostID]hingeids.Zone
 	// clockLag is how far the time of day is behind on the hosts that start calls create.
 	clockLag time.Duration
+	// closed makes the hosts that start calls create members of a closed group.
+	closed bool
+	// isStarted is the setting of the hosts that start calls create.
+	isStarted func() bool
 	// seeds are those of the hosts that start calls create, and contacts the hosts that they know besides.
 	seeds    []hingeids.HostID
 	contacts []hingeids.HostID
@@ -107,12 +111,13 @@
 	var err error
 	clockLag := g.clockLag
 	x.group, err = New(Settings{
-		Name:     "config",
-		Self:     id,
-		Hosts:    g.seeds,
-		Open:     true,
-		JoinOnly: !bootstraps,
-		Voters:   3,
+		Name:      "config",
+		Self:      id,
+		Hosts:     g.seeds,
+		Open:      !g.closed,
+		JoinOnly:  !bootstraps,
+		IsStarted: g.isStarted,
+		Voters:    3,
 		Zone: func(h hingeids.HostID) hingeids.Zone {
 			return g.zones[h]
 		},
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,8 @@
 	origin Origin
 	clock  func() time.Time
 	peers  Peers
+	// started is set once a follower had a configuration.
+	started atomic.Bool
 	// reads lets followers share reads from the leader: after a start all of them request a confirmation at
 	// once, and each control host reads once a round trip.
 	reads hingeflight.Shared[bool]
@@ -152,6 +155,11 @@
 	}
 }
 
+// HasStarted reports whether a follower has had a configuration, so that there is, or was, a group that accepted it.
+func (s *Source) HasStarted() bool {
+	return s.started.Load()
+}
+
 // WakePolls makes waiting long polls check for changes of Origin.
 func (s *Source) WakePolls() {
 	s.mu.Lock()
@@ -209,6 +217,9 @@
 	if q.Incarnation != s.self {
 		q.Change = 0
 	}
+	if q.Version > 0 {
+		s.started.Store(true)
+	}
 	if q.EntryHost && !q.Single {
 		s.mu.Lock()
 		s.entryHosts[from] = s.clock()
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -176,10 +176,13 @@
 func (c *Control) newGroup(files hingefolder.Directory) (*hingegroup.Group, error) {
 	o := c.options
 	return hingegroup.New(hingegroup.Settings{
-		Name:              "config",
-		Self:              o.Instance.Host,
-		Hosts:             o.Seeds,
-		Open:              true,
+		Name:  "config",
+		Self:  o.Instance.Host,
+		Hosts: o.Seeds,
+		Open:  true,
+		IsStarted: func() bool {
+			return c.source.HasStarted()
+		},
 		JoinOnly:          !o.FirstStart,
 		Voters:            o.Voters,
 		CatchUp:           o.CatchUp,
