--- a/internal/agreement/hingegroup/bootstrap.go
+++ b/internal/agreement/hingegroup/bootstrap.go
@@ -123,6 +123,7 @@
 		Base:      &d.BasePosition,
 	}))
 	if err != nil {
+		m.recordFailure(now, err)
 		return err
 	}
 	m.stored = d
--- a/internal/agreement/hingegroup/founding_test.go
+++ b/internal/agreement/hingegroup/founding_test.go
@@ -1,6 +1,7 @@
 package hingegroup
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,3 +113,24 @@
 		}
 	})
 }
+
+// Guards against a closed group that is never bootstrapped because a disk was full at that moment, also after it has space again.
+func TestFullDiskWhileAClosedGroupIsBootstrapped(t *testing.T) {
+	for _, full := range seeds {
+		withUnstartedGroup(t, func(g *openGroup) {
+			g.closed = true
+			last := seeds[(slices.Index(seeds, full)+1)%len(seeds)]
+			for _, id := range seeds {
+				if id != last {
+					g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, true)
+				}
+			}
+			g.hosts[full].disk.full.Store(true)
+			g.start(last, &fillableDisk{memoryDisk: newMemoryDisk()}, true)
+			time.Sleep(2 * time.Second)
+			g.hosts[full].disk.full.Store(false)
+			time.Sleep(contactTime)
+			g.mustChange(full, 1)
+		})
+	}
+}
--- a/internal/agreement/hingegroup/foundings_test.go
+++ b/internal/agreement/hingegroup/foundings_test.go
@@ -79,7 +79,7 @@
 	for range 1 + f.plan.intN(3) {
 		time.Sleep(f.plan.between(0, 500*time.Millisecond))
 		id := f.order[f.plan.intN(len(f.order))]
-		switch kind := f.plan.intN(7); kind {
+		switch kind := f.plan.intN(8); kind {
 		case 0, 1, 2:
 			f.killAll(kind == 2)
 		case 3:
@@ -98,6 +98,8 @@
 				spares--
 				f.replace(id, f.plan.intN(2) == 0)
 			}
+		case 7:
+			f.fillFor(id, f.plan.between(100*time.Millisecond, 1500*time.Millisecond))
 		}
 	}
 }
@@ -123,6 +125,18 @@
 	f.log("%s is joined", id)
 }
 
+func (f *foundingFleet) fillFor(id hingeids.HostID, d time.Duration) {
+	f.lostAt[id] = time.Now()
+	f.mu.Lock()
+	disk := f.disks[id]
+	f.mu.Unlock()
+	f.log("the disk of %s is full", id)
+	disk.setFault(usualSyncTime, time.Time{}, true)
+	time.Sleep(d)
+	disk.setFault(usualSyncTime, time.Time{}, false)
+	f.log("the disk of %s has space", id)
+}
+
 func (f *foundingFleet) freezeFor(id hingeids.HostID, d time.Duration) {
 	f.lossFleet.mu.Lock()
 	x := f.hosts[id]
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -213,19 +213,25 @@
 			m.drainInbox()
 		case <-ticker.C:
 		}
-		now := m.group.settings.Clock()
-		m.log.Tick(now)
-		m.proposeBatch(now)
-		m.log.Flush(now)
-		if err := m.processOutput(); err != nil {
+		if err := m.step(m.group.settings.Clock()); err != nil {
 			if err := m.reopen(ctx); err != nil {
 				return err
 			}
-			continue
 		}
 	}
 }
 
+// step returns an error if the journal has failed, also outside processOutput: a bootstrap or a renewal of the disk writes as well.
+func (m *member) step(now time.Time) error {
+	if m.journal.HasFailed() {
+		return hingejournal.ErrJournalFailed
+	}
+	m.log.Tick(now)
+	m.proposeBatch(now)
+	m.log.Flush(now)
+	return m.processOutput()
+}
+
 // drainInbox runs all waiting functions, so that they share one sync (rule 1).
 func (m *member) drainInbox() {
 	for range inboxSize {
--- a/internal/agreement/hingejournal/journal.go
+++ b/internal/agreement/hingejournal/journal.go
@@ -369,6 +369,11 @@
 	return err
 }
 
+// HasFailed reports whether the journal rejects all further operations (rule 2).
+func (j *Journal) HasFailed() bool {
+	return j.failed
+}
+
 // Totals returns the totals since the journal was opened.
 func (j *Journal) Totals() Totals {
 	return j.totals
