hingespread: a refused confirmation isn't retried without a wait (serve)

Seen: the tests of this package grew to 24 GB once beside load, and past 0.9 GB in one of 30 runs; the dump showed a host's Replicator polling itself while the fake clock stood still.

Cause, as supposed and now shown: a host that isn't ready asks its source to confirm with the leader. If the read is refused at once while a leader is known (a leader whose lease has lapsed asks itself), the answer came without any wait, counted as a success, and the next poll followed. On a fake clock time never passes then; on a real one a host of 'swifthinge serve' spends a core on it: 21,626 reads in half a second in the test below.

Compared with a wait for the whole poll time (0.5 s): a host that starts during an election would be ready that much later.

TestRefusedConfirmationIsNotRetriedInABusyLoop, red before.

--- a/internal/agreement/hingespread/source.go
+++ b/internal/agreement/hingespread/source.go
@@ -27,6 +27,9 @@
 	// in one response.
 	batchDelay        = 5 * time.Millisecond
 	leaderReadTimeout = time.Second
+	// confirmRetryDelay is how long a follower that isn't ready waits for its response if the leader's confirmation was
+	// refused, which may take no time at all. It would poll in a busy loop otherwise.
+	confirmRetryDelay = 50 * time.Millisecond
 	// maxPollTimeFollowers is the number of followers at which the poll time reaches
 	// maxPollTime.
 	maxPollTimeFollowers = 200
@@ -71,8 +74,11 @@
 	}
 	pollTime := s.recordFollower(s.clock(), from, q.Applied)
 	newestConfirmed := q.ConfirmNewest && s.readFromLeader(ctx)
-	if !q.ConfirmNewest {
+	switch {
+	case !q.ConfirmNewest:
 		s.waitForChange(ctx, q.Applied, pollTime)
+	case !newestConfirmed:
+		s.waitForChange(ctx, q.Applied, confirmRetryDelay)
 	}
 	v := s.origin.Views().Load()
 	resp := response{
