hingeserver: the test of released addresses doesn't depend on ports that other processes take

TestReleasedAddressesAreFreeAtOnce failed once beside other work ('bind: address already in use'). As strict: the copies that it looks for are of its own addresses.

--- a/internal/serve/hingeserver/addresses_test.go
+++ b/internal/serve/hingeserver/addresses_test.go
@@ -1,7 +1,9 @@
 package hingeserver
 
 import (
+	"fmt"
 	"net"
+	"os"
 	"os/exec"
 	"sync"
 	"testing"
@@ -27,9 +29,11 @@
 	}
 	defer others.Wait()
 	defer close(stop)
+	// Tests of other packages bind ports of the usual loopback address meanwhile.
+	ip := fmt.Sprintf("127.%d.%d.1", 100+os.Getpid()/250%100, os.Getpid()%250)
 	for range 300 {
 		free := newAddresses(t)
-		tcp, udp := free.free("tcp", "127.0.0.1"), free.free("udp", "127.0.0.1")
+		tcp, udp := free.free("tcp", ip), free.free("udp", ip)
 		time.Sleep(time.Millisecond)
 		free.release()
 		l, err := net.Listen("tcp", tcp)
