hingeserver: the status of a host without a disk asks for the leader

TestStatusNamesTheLeaderAtEveryHost (known red): after the leader was killed, hosts without a disk named it for 10 s and longer, as they name whoever answered their last request; after a refused request they named none. An operator who looks for the leader there was sent to a dead host.

Cause: such a host has no log that follows the leader, and Group.Leader returns what it remembers, however old. A status now sends a read, which goes to the leader or finds the next one, for a second at most; without an answer it names none. Hosts with a disk name the leader of their log as before. Compared with forgetting the memory after an election time: the status would then name none most of the time.

--- a/internal/serve/hingeserver/operators.go
+++ b/internal/serve/hingeserver/operators.go
@@ -235,7 +235,7 @@
 		Reason:      reason,
 		Draining:    s.callers.Draining(),
 		InProgress:  int(s.callers.Active()),
-		Leader:      s.shared.config.Leader(),
+		Leader:      s.confirmedLeader(),
 		Voting:      s.isVoter(),
 		Committed:   applied.View.Revision,
 		Hosts:       o.hosts(),
@@ -243,6 +243,24 @@
 	}
 }
 
+// leaderQueryTimeout limits how long a status waits for the leader; one that is silent is noticed sooner.
+const leaderQueryTimeout = time.Second
+
+// confirmedLeader returns the leader, empty if none answers. The log of a host with a disk follows it. A host
+// without one remembers who answered its last request, which may be long ago, and so asks.
+func (s *Server) confirmedLeader() hingeids.HostID {
+	group := s.shared.config
+	if s.settings.DataFolder != "" {
+		return group.Leader()
+	}
+	ctx, stop := context.WithTimeout(context.Background(), leaderQueryTimeout)
+	defer stop()
+	if _, err := group.Read(ctx); err != nil {
+		return ""
+	}
+	return group.Leader()
+}
+
 func (o operatorAPI) servers(now time.Time) []hingeadmin.ServerStatus {
 	s := o.server
 	configuration := s.configuration.Load()
