hingesoak: the control hosts are broken while the system starts for the first time

Until now each run waited in peace for the first configuration. What shows a system that isn't founded is the first change, within the start timeout.

Not in the plan: a host replaced at another address before the founding, growing configurations, a disk that loses unsynced bytes.

--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -134,6 +134,7 @@
 	if err := s.fleet.startAll(); err != nil {
 		return Report{}, err
 	}
+	s.breakFirstStart()
 	runCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	if err := s.startServers(runCtx); err != nil {
