hingegroup: a late bootstrap needs each configured host

A majority of the configured hosts may have lost their disks while they are cut off from the third, which holds the group: they would found a second one beside it. What was to prevent that, an entry host that has a configuration, may reach them seconds later than the second they wait. Rounds, waits and the query that only looks for a lower name are gone with it.

TestNoLateBootstrapWithoutAnAnswerOfEachHost.

--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -45,12 +45,12 @@
 //     a leader answers under a lease that began after this process, the others have a quorum, which
 //     holds all that is committed. The disk is then renewed, and joins as an empty one (rule 4).
 //  11. Founders may be killed before they have claimed their disks; if a majority is, no founder's group can start. An open
-//     group is then bootstrapped late: a majority of the configured hosts, all if they answer within a second, must state
-//     twice the same disks and the same list of configured hosts, know of no group, and hold no first state but the
-//     founders'. Those founders that haven't lost their disk must be too few to start their group, and so must those
-//     that are silent. The first of them by name proposes their disks as voters. The others
-//     store that before it does, each only for the last round that it has answered. Two majorities of one list share a host, which
-//     stores at most one proposal, so that there is at most one group. A host that has stored it sends it to the others until
-//     there is a leader. That two lists which share no majority are in use before any group has started is excluded by the
-//     settings alone.
+//     group is then bootstrapped late: in two rounds in a row each configured host must answer with the same disk and the
+//     same list of configured hosts, know of no group, and hold no first state but the founders'. Those founders that
+//     haven't lost their disk must be too few to start their group, and so must those that are silent. The first host by name
+//     proposes their disks as voters. The others store that before it does, each only for the last round that it has
+//     answered. A host that has stored it sends it to the others until there is a leader. A second proposal needs an answer of
+//     each host of a list too; a host in both lists stores one of the two at most. A majority of the configured hosts
+//     isn't enough: two that have lost their disks, cut off from the third, would found a group beside its own. That two lists
+//     without a common host are in use before any group has started is excluded by the settings alone.
 package hingegroup
--- a/internal/agreement/hingegroup/founding_test.go
+++ b/internal/agreement/hingegroup/founding_test.go
@@ -134,3 +134,26 @@
 		})
 	}
 }
+
+// Guards against a second group: two of three configured hosts lose their disks while the third, which holds the group, doesn't
+// answer them. They are more than half of those that could found one.
+func TestNoLateBootstrapWithoutAnAnswerOfEachHost(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange(seeds[0], 1)
+		holder := g.hosts[seeds[2]].disk
+		for _, id := range seeds {
+			g.kill(id)
+		}
+		for _, id := range seeds[:2] {
+			g.start(id, &fillableDisk{memoryDisk: newMemoryDisk()}, false)
+		}
+		time.Sleep(10 * time.Second)
+		g.start(seeds[2], holder, false)
+		time.Sleep(contactTime)
+		for _, id := range seeds[:2] {
+			if s := g.hosts[id].group.Status(); s.LastIndex > 0 {
+				t.Errorf("%s founded another group: %+v", id, s.Status)
+			}
+		}
+	})
+}
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -126,7 +126,9 @@
 	LeaderSince time.Time
 	// StaleDisk reports that the disk holds less than this host has confirmed (rule 10).
 	StaleDisk bool
-	Journal   hingejournal.Totals
+	// LateBootstrap reports that the disk holds the first state of a late bootstrap and nothing else (rule 11).
+	LateBootstrap bool
+	Journal       hingejournal.Totals
 }
 
 // Group is one host's part in a group. On a host without a disk it only forwards
--- a/internal/agreement/hingegroup/latebootstrap.go
+++ b/internal/agreement/hingegroup/latebootstrap.go
@@ -19,9 +19,6 @@
 // lateTerm is the term of the first state that a late bootstrap stores. It is above that of the founders.
 const lateTerm hingelog.Term = 2
 
-// noRound is that of a query which only finds out whether a host answers.
-const noRound = 0
-
 // bootstrapQuery asks a configured host what it holds, for one round of a late bootstrap.
 type bootstrapQuery struct {
 	Round uint64 `cbor:"1,keyasint"`
@@ -55,49 +52,31 @@
 	return slices.Compact(list)
 }
 
-// incompleteDelay is how long a late bootstrap waits for configured hosts that don't answer: after a loss of power
-// they start within a second of each other.
-const incompleteDelay = time.Second
-
-// bootstrapRound is what the configured hosts have answered, unchanged since a time.
-type bootstrapRound struct {
-	disks []hingelog.Member
-	since time.Time
-}
-
-// tryLateBootstrap implements rule 11. It returns the round, which is compared with the next one.
-func (g *Group) tryLateBootstrap(ctx context.Context, before bootstrapRound) bootstrapRound {
+// tryLateBootstrap implements rule 11. It returns the disks that have answered, which the next round is compared with.
+func (g *Group) tryLateBootstrap(ctx context.Context, before []hingelog.Member) []hingelog.Member {
 	hosts := sorted(g.settings.Hosts)
-	position := slices.Index(hosts, g.settings.Self)
-	// A round of each host would revoke the answers to those of the others.
-	if position < 0 || len(g.queryBootstrapStates(ctx, hosts[:position], noRound)) > 0 {
-		return bootstrapRound{}
+	if len(hosts) == 0 || hosts[0] != g.settings.Self {
+		return nil
 	}
 	began := g.settings.Clock()
-	id := rand.Uint64()
-	states := g.queryBootstrapStates(ctx, hosts, id)
-	if !mayBootstrapLate(g.settings.Self, hosts, states) {
-		return bootstrapRound{}
-	}
-	round := bootstrapRound{
-		since: began,
+	round := rand.Uint64()
+	states := g.queryBootstrapStates(ctx, hosts, round)
+	if !mayBootstrapLate(hosts, states) {
+		return nil
 	}
+	disks := make([]hingelog.Member, 0, len(states))
 	for _, s := range states {
-		round.disks = append(round.disks, s.Member)
-	}
-	if !slices.Equal(round.disks, before.disks) {
-		return round
+		disks = append(disks, s.Member)
 	}
-	round.since = before.since
-	if len(states) == len(hosts) || began.Sub(before.since) >= incompleteDelay {
+	if slices.Equal(disks, before) {
 		g.bootstrapLate(ctx, began, lateBootstrap{
-			Round: id,
+			Round: round,
 			Members: hingelog.Members{
-				Voters: round.disks,
+				Voters: disks,
 			},
 		})
 	}
-	return round
+	return disks
 }
 
 // queryBootstrapStates returns the answers of the hosts that answer, in the order of the hosts.
@@ -121,9 +100,9 @@
 	return states
 }
 
-// mayBootstrapLate reports whether no group has started, the founders' one can't, and this host is the one to bootstrap it.
-func mayBootstrapLate(self hingeids.HostID, hosts []hingeids.HostID, states []bootstrapState) bool {
-	if len(states) <= len(hosts)/2 || states[0].Member.Host != self {
+// mayBootstrapLate reports whether all hosts have answered, none knows of a group, and the founders' one can't start.
+func mayBootstrapLate(hosts []hingeids.HostID, states []bootstrapState) bool {
+	if len(states) < len(hosts) {
 		return false
 	}
 	disks := make(map[hingeids.HostID]hingeids.Incarnation)
@@ -185,9 +164,7 @@
 
 // bootstrapState answers a round, and revokes the answers to earlier ones.
 func (m *member) bootstrapState(round uint64) bootstrapState {
-	if round != noRound {
-		m.bootstrapRound = round
-	}
+	m.bootstrapRound = round
 	s := m.log.Status()
 	return bootstrapState{
 		Member: m.self,
@@ -247,7 +224,7 @@
 	switch {
 	case s.LastIndex > 1 || s.Term > foundersTerm || !s.Leader.IsZero():
 		return eris.New("late bootstrap refused: this host holds a group")
-	case !b.Held && (b.Round == noRound || b.Round != m.bootstrapRound):
+	case !b.Held && b.Round != m.bootstrapRound:
 		return eris.New("late bootstrap refused: this host has answered another round since")
 	case !b.Members.HasVoter(m.self):
 		return eris.New("late bootstrap refused: this host's disk isn't among the voters")
--- a/internal/agreement/hingegroup/member.go
+++ b/internal/agreement/hingegroup/member.go
@@ -314,11 +314,12 @@
 
 func (m *member) publish(now time.Time) {
 	s := Status{
-		Status:      m.log.Status(),
-		Applied:     m.applied,
-		LeaderSince: now,
-		StaleDisk:   m.log.HasStaleDisk(),
-		Journal:     m.journal.Totals(),
+		Status:        m.log.Status(),
+		Applied:       m.applied,
+		LeaderSince:   now,
+		StaleDisk:     m.log.HasStaleDisk(),
+		LateBootstrap: m.holdsLateBootstrap(),
+		Journal:       m.journal.Totals(),
 	}
 	if last := m.group.Status(); last.Leader == s.Leader && !last.LeaderSince.IsZero() {
 		s.LeaderSince = last.LeaderSince
--- a/internal/agreement/hingegroup/membership.go
+++ b/internal/agreement/hingegroup/membership.go
@@ -27,7 +27,7 @@
 	defer ticker.Stop()
 	leaderSeenAt := g.settings.Clock()
 	staleSince := time.Time{}
-	var round bootstrapRound
+	var bootstrapDisks []hingelog.Member
 	for {
 		status := g.Status()
 		now := g.settings.Clock()
@@ -42,7 +42,7 @@
 		}
 		if g.settings.Open && status.LastIndex <= 1 && status.Leader.IsZero() {
 			g.propagateLateBootstrap(ctx)
-			round = g.tryLateBootstrap(ctx, round)
+			bootstrapDisks = g.tryLateBootstrap(ctx, bootstrapDisks)
 		}
 		switch {
 		case status.StaleDisk:
@@ -56,11 +56,12 @@
 			g.propagateBootstrap(ctx)
 		case status.LastIndex > 1 && !status.Members.Has(status.Self):
 			g.requestJoin(ctx)
-		case g.settings.Open && now.Sub(leaderSeenAt) > rejoinAfterElections*g.settings.ElectionTimeout:
-			if status.LastIndex == 1 {
-				// The others may have a group that this host's late bootstrap knows nothing of.
+		case status.LateBootstrap:
+			// A group that refused this host's late bootstrap has another first state, which no entry can follow here.
+			if now.Sub(leaderSeenAt) > rejoinAfterElections*g.settings.ElectionTimeout {
 				g.replaceDisk(ctx)
 			}
+		case g.settings.Open && now.Sub(leaderSeenAt) > rejoinAfterElections*g.settings.ElectionTimeout:
 			// This member may have been removed while it was down (hingelog rule 13). Its
 			// own log doesn't show that, and the others send it no further entries.
 			g.requestJoin(ctx)
