--- /dev/null
+++ b/review/_stand2/late.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// lateSpan is how long reports are held up, lateBy how late they arrive.
+	lateSpan = 3200 * time.Millisecond
+	lateBy   = 2500 * time.Millisecond
+	// settleTime is the time after the last late report from which on the state counts as steady.
+	settleTime = 10 * time.Second
+	// enoughRequests and servedShare are those of the rule.
+	enoughRequests = 20
+	servedShare    = 0.25
+)
+
+// slowPath is the path from some replicas to the control hosts. While slow is set, what is sent there arrives lateBy later,
+// also if its sender has given up waiting.
+type slowPath struct {
+	slow atomic.Bool
+
+	mu        sync.Mutex
+	forwarder map[string]string
+}
+
+// newSlowPath opens a forwarder to each control host.
+func newSlowPath(r *run) (*slowPath, error) {
+	p := &slowPath{
+		forwarder: make(map[string]string),
+	}
+	for _, c := range r.controls {
+		target := fmt.Sprintf("%s:%d", c.ip, r.ports.control)
+		l, err := net.Listen("tcp4", r.address(3, 1)+":0")
+		if err != nil {
+			return nil, err
+		}
+		r.onClose(func() { _ = l.Close() })
+		p.forwarder[target] = l.Addr().String()
+		go p.accept(l, target)
+	}
+	return p, nil
+}
+
+func (p *slowPath) accept(l net.Listener, target string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go p.forward(c, target)
+	}
+}
+
+func (p *slowPath) forward(c net.Conn, target string) {
+	defer func() {
+		_ = c.Close()
+	}()
+	if p.slow.Load() {
+		time.Sleep(lateBy)
+	}
+	to, err := net.DialTimeout("tcp4", target, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() {
+		_ = to.Close()
+	}()
+	go func() {
+		// The end of what the replica has sent isn't forwarded: the report is complete by then.
+		_, _ = io.Copy(to, c)
+	}()
+	_ = to.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, _ = io.Copy(c, to)
+}
+
+// client returns a client whose channels take the path.
+func (p *slowPath) client() *http.Client {
+	return &http.Client{
+		Timeout: time.Second,
+		Transport: &http.Transport{
+			DisableKeepAlives: true,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				p.mu.Lock()
+				via := p.forwarder[address]
+				p.mu.Unlock()
+				var d net.Dialer
+				return d.DialContext(ctx, network, via)
+			},
+		},
+	}
+}
+
+// playLate adds a route to a second service, and lets the reports of that service's replicas arrive late for a while.
+func playLate(r *run) ([]string, error) {
+	for _, zone := range []string{"cancale", "roscoff", "quiberon"} {
+		r.addControl(zone)
+		r.addFront(zone)
+	}
+	first := newRoute("statut-lot", "/pule252/", "unsafe", "viviers-app", 600)
+	_, stop, c, err := r.startPlain(3)
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	path, err := newSlowPath(r)
+	if err != nil {
+		return nil, err
+	}
+	added := newRoute("quai-chargement", "/lohu930/", "safe", "viviers-app-2", 600)
+	if _, err := r.put(config(9, []string{"viviers-app", "viviers-app-2"}, first, added)); err != nil {
+		return nil, err
+	}
+	var servers []*server
+	for i := range 3 {
+		s, err := r.newServerAt(4+i, "viviers-app-2", r.controls[i].zone, 6, 15*time.Millisecond, i, path.client())
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, s)
+	}
+	time.Sleep(configApplyMs * time.Millisecond)
+	ctx, stopAdded := context.WithCancel(context.Background())
+	defer stopAdded()
+	for _, f := range r.fronts {
+		c.every(ctx, 60*time.Millisecond, func() { c.send(f, http.MethodGet, "/lohu930/2f", 600*time.Millisecond) })
+	}
+	time.Sleep(6 * time.Second)
+	path.slow.Store(r.trouble)
+	r.record.event("liveness reports arrive late", "by", lateBy, "for", lateSpan, "disrupted", r.trouble)
+	time.Sleep(lateSpan)
+	path.slow.Store(false)
+	r.record.event("liveness reports arrive in time")
+	time.Sleep(lateBy + settleTime)
+	steadyAt := time.Now()
+	before := make(map[string]uint64)
+	for _, s := range servers {
+		before[s.id] = s.acknowledged.Load()
+	}
+	time.Sleep(10 * time.Second)
+	for _, s := range servers {
+		r.record.event("reports acknowledged in the steady state", "replica", s.id, "count", s.acknowledged.Load()-before[s.id], "by", r.nameOf(s.target()))
+	}
+	stopAdded()
+	stop()
+	c.group.Wait()
+	return r.checkAdded(steadyAt, first.PathPrefix, added.PathPrefix), nil
+}
+
+// checkAdded compares how often the requests on the added route are served with those on the first one.
+func (r *run) checkAdded(steadyAt time.Time, first, added string) []string {
+	sent, served := make(map[string]int), make(map[string]int)
+	for _, q := range r.record.all() {
+		if q.sent.Before(steadyAt) {
+			continue
+		}
+		for _, prefix := range []string{first, added} {
+			if q.path[:len(prefix)] != prefix {
+				continue
+			}
+			sent[prefix]++
+			if q.status == http.StatusOK && q.failure == "" {
+				served[prefix]++
+			}
+		}
+	}
+	r.record.event("checked", "firstSent", sent[first], "firstServed", served[first], "addedSent", sent[added], "addedServed", served[added])
+	share := float64(served[added]) / float64(max(sent[added], 1))
+	firstShare := float64(served[first]) / float64(max(sent[first], 1))
+	if sent[added] < enoughRequests || share >= servedShare*firstShare {
+		return nil
+	}
+	return []string{fmt.Sprintf("CONFIG broken: in steady state %d of %d requests on the added route are served, and %d of %d on the first one",
+		served[added], sent[added], served[first], sent[first])}
+}
