--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -14,9 +14,9 @@
 )
 
 var cases = map[string]func(*run) ([]string, error){
-	"late":       playLate,
-	"report":     playReport,
-	"deregister": playDeregister,
+	"late":   playLate,
+	"large":  playLarge,
+	"report": playReport,
 }
 
 func main() {
