review: cases 4 and 6 read once more to refute them

Case 6 drained three of six replicas, above the site's largest share of a release.

All claims name one site, whose bounds the scripts have.

--- a/review/_stand2/late.go
+++ b/review/_stand2/late.go
@@ -17,8 +17,9 @@
 	lateReports = 3
 	lateBy      = 2500 * time.Millisecond
 	lateSpan    = 5 * time.Second
-	// settleTime is the time after the last late report from which on the state counts as steady.
-	settleTime = 10 * time.Second
+	// watchAfter is how long requests are sent after the last late report. The requests of the whole run count, also those
+	// before and while reports are late.
+	watchAfter = 50 * time.Second
 	// enoughRequests and servedShare are those of the rule.
 	enoughRequests = 20
 	servedShare    = 0.25
@@ -136,7 +137,8 @@
 	for _, f := range r.fronts {
 		c.every(ctx, 60*time.Millisecond, func() { c.send(f, http.MethodGet, "/lohu930/2f", 600*time.Millisecond) })
 	}
-	time.Sleep(6 * time.Second)
+	countFrom := time.Now()
+	time.Sleep(3 * time.Second)
 	if r.trouble {
 		for _, p := range paths {
 			p.late.Store(lateReports)
@@ -144,27 +146,27 @@
 		r.record.event("each replica's next liveness reports arrive late", "reports", lateReports, "by", lateBy)
 	}
 	time.Sleep(lateSpan)
-	time.Sleep(lateBy + settleTime)
-	steadyAt := time.Now()
+	time.Sleep(lateBy)
 	before := make(map[string]uint64)
 	for _, s := range servers {
 		before[s.id] = s.acknowledged.Load()
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(watchAfter)
 	for _, s := range servers {
-		r.record.event("reports acknowledged in the steady state", "replica", s.id, "count", s.acknowledged.Load()-before[s.id], "by", r.nameOf(s.target()))
+		r.record.event("reports acknowledged after the late ones", "replica", s.id, "count", s.acknowledged.Load()-before[s.id], "by", r.nameOf(s.target()))
 	}
 	stopAdded()
 	stop()
 	c.group.Wait()
-	return r.checkAdded(steadyAt, first.PathPrefix, added.PathPrefix), nil
+	return r.checkAdded(countFrom, first.PathPrefix, added.PathPrefix), nil
 }
 
-// checkAdded compares how often the requests on the added route are served with those on the first one.
-func (r *run) checkAdded(steadyAt time.Time, first, added string) []string {
+// checkAdded compares how often the requests on the added route are served with those on the first one, from countFrom to
+// the end of the run.
+func (r *run) checkAdded(countFrom time.Time, first, added string) []string {
 	sent, served := make(map[string]int), make(map[string]int)
 	for _, q := range r.record.all() {
-		if q.sent.Before(steadyAt) {
+		if q.sent.Before(countFrom) {
 			continue
 		}
 		for _, prefix := range []string{first, added} {
@@ -183,6 +185,6 @@
 	if sent[added] < enoughRequests || share >= servedShare*firstShare {
 		return nil
 	}
-	return []string{fmt.Sprintf("CONFIG broken: in steady state %d of %d requests on the added route are served, and %d of %d on the first one",
+	return []string{fmt.Sprintf("CONFIG broken: %d of %d requests on the added route are served, and %d of %d on the first one",
 		served[added], sent[added], served[first], sent[first])}
 }
--- a/review/_stand2/report.go
+++ b/review/_stand2/report.go
@@ -18,13 +18,13 @@
 	plainGap  = 30 * time.Millisecond
 )
 
-// playReport sends liveness reports of another writer, whose ids can't be read, before half of the replicas drain and leave.
+// playReport sends liveness reports of another writer, whose ids can't be read, before three of seven replicas drain and leave.
 func playReport(r *run) ([]string, error) {
 	for _, zone := range []string{"cancale", "roscoff", "quiberon"} {
 		r.addControl(zone)
 		r.addFront(zone)
 	}
-	servers, stop, c, err := r.startPlain(6)
+	servers, stop, c, err := r.startPlain(7)
 	if err != nil {
 		return nil, err
 	}
