review: another writer's report takes a working replica's address

Tried: liveness reports without version and coldRemainingMs, under ids of their own, for the addresses of the three replicas of an added route, one each 1.2 s per replica.

The replicas' own reports are acknowledged throughout. Reports under a replica's own id with an unknown service are refused.

--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -14,9 +14,10 @@
 )
 
 var cases = map[string]func(*run) ([]string, error){
-	"late":   playLate,
-	"large":  playLarge,
-	"report": playReport,
+	"late":    playLate,
+	"large":   playLarge,
+	"report":  playReport,
+	"foreign": playForeign,
 }
 
 func main() {
