--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -18,8 +18,7 @@
 	"time"
 )
 
-// The bounds of the settings: drainMs, configApplyMs and contactMs as in the grown installations, where they are longer,
-// the others as in the small ones.
+// The bounds of the settings are those of the site that the claims name; the number of machines is a small deployment's.
 const (
 	drainMs       = 2500
 	configApplyMs = 2500
@@ -164,22 +163,24 @@
 		fmt.Sprintf("internalPorts=%d,%d", r.ports.link, r.ports.metrics),
 		"seeds=" + strings.Join(seeds, ","),
 		fmt.Sprintf("bootstrap=%v", p.first),
-		"limits.cores=1", "limits.maxFds=4100", "limits.linkMbps=1000.0", "discovery=registry", "entry=vip",
+		"limits.cores=1", "discovery=registry", "entry=vip",
 		fmt.Sprintf("heartbeatMs=%d", heartbeatMs),
-		"contracts=base,drain,config,cost,retry,recover,split,stream,engine",
+		"contracts=base,drain,config,cost,retry,recover,health,pool,split,stream,engine",
 		"faultTolerance.machines=1", "faultTolerance.zones=1", "faultTolerance.regions=0",
-		"bounds.seedLagS=3", "bounds.reuseAfterS=2", fmt.Sprintf("bounds.contactMs=%d", contactMs), "bounds.ackMs=4000",
-		"bounds.catchUpS=4", fmt.Sprintf("bounds.drainMs=%d", drainMs), fmt.Sprintf("bounds.graceS=%d", graceS),
+		"bounds.seedLagS=3", "bounds.reuseAfterS=2", fmt.Sprintf("bounds.contactMs=%d", contactMs), "bounds.ackMs=5000",
+		"bounds.catchUpS=6", fmt.Sprintf("bounds.drainMs=%d", drainMs), fmt.Sprintf("bounds.graceS=%d", graceS),
 		fmt.Sprintf("bounds.lossSlackMs=%d", lossSlackMs), fmt.Sprintf("bounds.configApplyMs=%d", configApplyMs),
-		"bounds.rollbackSlackMs=250", "bounds.maxStretchMs=5000", "bounds.retryBudgetRatio=0.2", "bounds.budgetWindowS=10",
-		"bounds.budgetSlack=52", "bounds.recoverS=12", "bounds.transitMs=120", "bounds.retryAfterS=3",
+		"bounds.rollbackSlackMs=250", "bounds.maxStretchMs=6000", "bounds.retryBudgetRatio=0.2", "bounds.budgetWindowS=10",
+		"bounds.budgetSlack=218", "bounds.recoverS=15", "bounds.transitMs=200", "bounds.retryAfterS=3",
 		"bounds.requireFencing=true", "bounds.leaseMs=3000", "bounds.thawMs=300", "configMode=highest",
 	}
 	if p.role == "front" {
-		lines = append(lines, "machineClass=front", "serves=front", "lossCounts=false", "limits.memoryMb=134", "limits.diskMb=0",
+		lines = append(lines, "machineClass=front", "serves=front", "lossCounts=false", "limits.memoryMb=120", "limits.diskMb=0",
+			"limits.maxFds=3075", "limits.linkMbps=7.5",
 			fmt.Sprintf("listen.front=%s:%d", p.ip, r.ports.front), fmt.Sprintf("listen.ready=%s:%d", p.ip, r.ports.ready))
 	} else {
 		lines = append(lines, "machineClass=core", "serves=control", "lossCounts=true", "limits.memoryMb=280", "limits.diskMb=128",
+			"limits.maxFds=4096", "limits.linkMbps=1000.0",
 			fmt.Sprintf("listen.control=%s:%d", p.ip, r.ports.control), "dataDir="+p.data)
 	}
 	return strings.Join(lines, "\n") + "\n"
@@ -269,13 +270,15 @@
 	Transport: oneCall.Transport,
 }
 
-// put sends a configuration to the control hosts in turn until it is acknowledged.
+// put sends a configuration to the control hosts in turn, with increasing backoff, until it is acknowledged.
 func (r *run) put(body []byte) (time.Time, error) {
 	end := time.Now().Add(readyTimeout)
+	backoff := 100 * time.Millisecond
 	for i := 0; time.Now().Before(end); i++ {
 		resp, err := largeCall.Post(r.controlURL(r.controls[i%len(r.controls)], "/api/Config.Put"), "application/json", bytes.NewReader(body))
 		if err != nil {
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(backoff)
+			backoff = min(2*backoff, time.Second)
 			continue
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
@@ -285,7 +288,8 @@
 			r.record.event("config acknowledged", "by", r.controls[i%len(r.controls)].name)
 			return at, nil
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(backoff)
+		backoff = min(2*backoff, time.Second)
 	}
 	return time.Time{}, fmt.Errorf("%w: no acknowledgement of the configuration", errSetup)
 }
--- a/review/_stand2/late.go
+++ b/review/_stand2/late.go
@@ -28,6 +28,7 @@
 // slowPath is the path from a replica to the control hosts. The next reports, as many as late says, arrive lateBy later,
 // also if the replica has given up waiting.
 type slowPath struct {
+	run  *run
 	late atomic.Int64
 
 	mu        sync.Mutex
@@ -37,6 +38,7 @@
 // newSlowPath opens a forwarder to each control host.
 func newSlowPath(r *run) (*slowPath, error) {
 	p := &slowPath{
+		run:       r,
 		forwarder: make(map[string]string),
 	}
 	for _, c := range r.controls {
@@ -68,6 +70,7 @@
 	}()
 	if p.late.Add(-1) >= 0 {
 		time.Sleep(lateBy)
+		p.run.record.event("a liveness report arrives late", "at", p.run.nameOf(target), "by", lateBy)
 	}
 	to, err := net.DialTimeout("tcp4", target, time.Second)
 	if err != nil {
--- a/review/_stand2/report.go
+++ b/review/_stand2/report.go
@@ -18,7 +18,8 @@
 	plainGap  = 30 * time.Millisecond
 )
 
-// playReport sends liveness reports of another writer, whose ids can't be read, before three of seven replicas drain and leave.
+// playReport sends liveness reports of another writer, whose ids can't be read, before a release of three of seven replicas: three
+// new ones start, and then three old ones drain and leave.
 func playReport(r *run) ([]string, error) {
 	for _, zone := range []string{"cancale", "roscoff", "quiberon"} {
 		r.addControl(zone)
@@ -36,6 +37,13 @@
 		}
 	}
 	time.Sleep(6 * time.Second)
+	for i := range 3 {
+		if _, err := r.newServer(8+i, "viviers-app", r.controls[i].zone, 6, plainWork, i); err != nil {
+			return nil, err
+		}
+	}
+	r.record.event("three new replicas have started")
+	time.Sleep(2 * time.Second)
 	left := make(map[string]time.Time)
 	for _, s := range servers[:3] {
 		at, to, err := s.drain()
--- a/review/_stand2/server.go
+++ b/review/_stand2/server.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -175,40 +177,66 @@
 	return to, resp.StatusCode/100 == 2
 }
 
+// ServeHTTP answers as the pages say: 421 to a request for another replica, 400 to one without an id, 503 while the queue is
+// full or if the time limit passes in the queue, 504 if it passes while the request runs. Status checks need a place too.
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	arrived := time.Now()
 	_, _ = io.Copy(io.Discard, q.Body)
 	id := q.Header.Get(headerID)
+	health := q.URL.Path == "/healthz"
 	w.Header().Set(headerID, id)
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if expect := q.Header.Get(headerExpect); expect != "" && expect != s.id {
-		w.Header().Set(headerNotRun, "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		notRun(w, http.StatusMisdirectedRequest)
 		return
 	}
-	if q.URL.Path == "/healthz" {
-		w.Header().Set("X-Swifthinge-Instance-Id", s.id)
+	if id == "" && !health {
+		notRun(w, http.StatusBadRequest)
 		return
 	}
 	if s.queued.Add(1) > maxQueued {
 		s.queued.Add(-1)
-		w.Header().Set(headerNotRun, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		notRun(w, http.StatusServiceUnavailable)
 		return
 	}
 	defer s.queued.Add(-1)
-	arrived := time.Now()
+	ctx := q.Context()
+	if ms, err := strconv.Atoi(q.Header.Get(headerLimit)); err == nil {
+		limited, stop := context.WithDeadline(ctx, arrived.Add(time.Duration(ms)*time.Millisecond))
+		defer stop()
+		ctx = limited
+	}
 	select {
 	case s.places <- struct{}{}:
-	case <-q.Context().Done():
+	case <-ctx.Done():
+		if q.Context().Err() == nil {
+			notRun(w, http.StatusServiceUnavailable)
+		}
 		return
 	}
 	defer func() {
 		<-s.places
 	}()
+	if health {
+		w.Header().Set("X-Swifthinge-Instance-Id", s.id)
+		if s.draining.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	s.run.record.ran(id, s, arrived)
 	select {
 	case <-time.After(s.work):
-	case <-q.Context().Done():
-		s.run.record.dropped(id, s)
+	case <-ctx.Done():
+		if q.Context().Err() != nil {
+			s.run.record.dropped(id, s)
+			return
+		}
+		w.Header().Set(headerSeal, "seal."+id)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		s.run.record.finished(id, s)
 		return
 	}
 	w.Header().Set(headerSeal, "seal."+id)
@@ -216,6 +244,12 @@
 	s.run.record.finished(id, s)
 }
 
+// notRun answers that the request didn't run.
+func notRun(w http.ResponseWriter, status int) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(status)
+}
+
 func answerTo(id string) string {
 	return "answer to " + id + " " + strings.Repeat("x", 700)
 }
