Two owners of a server hear of each other, and only the right one says it silent

Callers of a service were refused for a moment although its replicas reported and were acknowledged: a report that arrived a second time at another control host had the same number there, so that each of the two hosts took itself for the owner. Neither was sent the other's record again. The wrong one heard nothing, called the server silent after up to 10 s, and all hosts dropped it until the right one contradicted. At an equal number silence was also taken over from a host that wasn't the owner.

Cause: two records of one number had no order, and were merged field by field. They are ordered by incarnation, number, owner and silence now (rule 10), an older or losing record is contradicted in the same way (rule 11), and event 314 and swifthinge_records_contradicted_total show that reports are late.

--- a/internal/membership/hingeannounce/announcement.go
+++ b/internal/membership/hingeannounce/announcement.go
@@ -23,9 +23,16 @@
 //     others follow them. A server's heartbeats go to one host, its owner, and only
 //     changes are propagated: a new server, a new role, leaving, silence, a new
 //     owner.
-//  9. Only the owner reports a server as silent. If the server finds a new owner,
-//     its newer heartbeat there overrides the old owner's report of silence. An owner that
-//     receives an older record which contradicts its own sends its own again.
+//  9. Only the owner, which received the newest report that it knows of, reports a server as silent. A host that
+//     restarts, and gets a record of its own from another, is the owner again and expects a report within the
+//     permitted silence.
+//  10. Records of one server are ordered by incarnation, sequence, owner and silence, and the greater one wins at each
+//     host, in whatever order they arrive: a silence counts only for the report after which its owner heard nothing.
+//     An older record adds a leaving (rule 3) and nothing else.
+//  11. A report that arrives late, or a second time, at another host than the server's owner makes that host an owner
+//     that gets no further report and will find the server silent. So an owner that receives a record which its own
+//     wins against, and which says something else, sends its own again. The other host then gives up its ownership;
+//     as one record is the greatest, this ends, with at most two changes for each such report.
 package hingeannounce
 
 import (
--- a/internal/membership/hingeannounce/directory.go
+++ b/internal/membership/hingeannounce/directory.go
@@ -28,6 +28,28 @@
 	return !r.Announcement.Leaving && !r.Silent
 }
 
+// compare orders the records of one server (rule 10): positive if r replaces o.
+func (r Record) compare(o Record) int {
+	switch {
+	case newer(r.Announcement, o.Announcement):
+		return 1
+	case newer(o.Announcement, r.Announcement):
+		return -1
+	case r.Owner != o.Owner:
+		return cmp.Compare(r.Owner, o.Owner)
+	case r.Silent == o.Silent:
+		return 0
+	case r.Silent:
+		return 1
+	}
+	return -1
+}
+
+// saysAs reports whether two records differ at most in their report.
+func (r Record) saysAs(o Record) bool {
+	return sameServer(r.Announcement, o.Announcement) && r.Owner == o.Owner && r.Silent == o.Silent
+}
+
 // Digest identifies the content of a record: all that is propagated of a server. Two
 // records with the same digest differ at most in their heartbeats.
 type Digest uint64
@@ -97,8 +119,9 @@
 	sweptAt time.Time
 	// full is set when a record was refused, until there is room again, and reported once
 	// TakeFull has returned it.
-	full     bool
-	reported bool
+	full         bool
+	reported     bool
+	contradicted Contradicted
 }
 
 // sweepInterval is how often expired tombstones are searched for.
@@ -176,7 +199,10 @@
 	}
 	next := e.record
 	a.Leaving = a.Leaving || next.leavingAs(a.Incarnation)
-	unchanged := sameServer(a, next.Announcement) && next.Owner == d.self && !next.Silent
+	unchanged := next.saysAs(Record{
+		Announcement: a,
+		Owner:        d.self,
+	})
 	d.startInstance(e, a.Incarnation)
 	if next.Owner == d.self {
 		e.intervals.Observe(max(now.Sub(e.lastSeen), 0))
@@ -245,21 +271,15 @@
 		return true
 	}
 	current := e.record
-	switch {
-	case newer(current.Announcement, r.Announcement):
+	if r.compare(current) <= 0 {
 		return d.applyLeaving(e, r.Announcement, false) || d.contradict(e, r)
-	case newer(r.Announcement, current.Announcement):
-		r.Announcement.Leaving = r.Announcement.Leaving || current.leavingAs(r.Announcement.Incarnation)
+	}
+	r.Announcement.Leaving = r.Announcement.Leaving || current.leavingAs(r.Announcement.Incarnation)
+	if newer(r.Announcement, current.Announcement) {
 		d.startInstance(e, r.Announcement.Incarnation)
 		e.lastSeen = now
-	default:
-		// Both records are of the same heartbeat: a silence or a leaving found since is
-		// kept.
-		r.Announcement.Leaving = r.Announcement.Leaving || current.Announcement.Leaving
-		r.Silent = r.Silent || current.Silent
-		r.Owner = max(r.Owner, current.Owner)
-	}
-	unchanged := sameServer(r.Announcement, current.Announcement) && r.Owner == current.Owner && r.Silent == current.Silent
+	}
+	unchanged := r.saysAs(current)
 	e.record = r
 	if !unchanged {
 		d.recordChange(e, false)
@@ -267,19 +287,36 @@
 	return !unchanged
 }
 
-// contradict sends the record of a server that reports to this host again if another host has sent an older one that says something
-// else, and reports whether it did. That host received a report late and got no further one: the hosts that hold it go on
-// believing it, and this host's reports, which change nothing, are not sent by themselves. Only one host owns the newest report, so this ends.
-func (d *Directory) contradict(e *directoryEntry, older Record) bool {
+// contradict sends the record of a server that reports to this host again if another host's record, which loses
+// against it, says something else (rule 11). It reports whether it did.
+func (d *Directory) contradict(e *directoryEntry, other Record) bool {
 	current := e.record
-	if current.Owner != d.self || !current.Usable() || older.Announcement.Incarnation != current.Announcement.Incarnation ||
-		older.Digest() == e.digest {
+	if current.Owner != d.self || !current.Usable() || other.Announcement.Incarnation != current.Announcement.Incarnation ||
+		current.saysAs(other) {
 		return false
 	}
+	d.contradicted.Count++
+	d.contradicted.Server = current.Announcement.Server
+	d.contradicted.Owner = other.Owner
 	d.recordChange(e, true)
 	return true
 }
 
+// Contradicted are the records of other hosts that this host's own records won against.
+type Contradicted struct {
+	Count int64
+	// Server and Owner are those of the last such record.
+	Server hingeids.ServerID
+	Owner  hingeids.HostID
+}
+
+// TakeContradicted returns the records that were contradicted since the last call (rule 11).
+func (d *Directory) TakeContradicted() Contradicted {
+	c := d.contradicted
+	d.contradicted = Contradicted{}
+	return c
+}
+
 // applyLeaving applies the leaving flag of an announcement that is not newer (rule 3), and
 // reports whether that changed anything. local is set if this host received it from the
 // server.
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -148,6 +148,13 @@
 	return s.directory.TakeFull()
 }
 
+// TakeContradicted returns the records of other hosts that this host contradicted since the last call.
+func (s *Source) TakeContradicted() hingeannounce.Contradicted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directory.TakeContradicted()
+}
+
 // HandleLeave records that a backend server leaves. The incarnation is zero if the
 // server didn't send it.
 func (s *Source) HandleLeave(now time.Time, id hingeids.ServerID, i hingeids.Incarnation) {
@@ -188,7 +195,7 @@
 	}
 	switch {
 	case s.directory.LocalChange() != local:
-		// A record of this host was sent again, since another host's contradicts it.
+		// This host has contradicted a record of another.
 		s.changes.notifyLocal(now, s.directory.LastRemoval())
 	case changed:
 		s.changes.notify(s.directory.LastRemoval())
--- a/internal/observe/hingeevents/membership.go
+++ b/internal/observe/hingeevents/membership.go
@@ -11,6 +11,8 @@
 	// AnnouncementRefused is recorded at most once a second.
 	AnnouncementRefused Number = 312
 	DirectoryFull       Number = 313
+	// RecordContradicted is recorded at most once a second.
+	RecordContradicted Number = 314
 )
 
 var membershipEntries = []Entry{
@@ -66,4 +68,11 @@
 		Description: "This host knows as many backend servers as it may, those that left in the last minutes included, and ignores further ones; count is the limit.",
 		Action:      "Find what announces servers under ever new names; the events announcementRefused at the control hosts name some of them.",
 	},
+	{
+		Number:      RecordContradicted,
+		Name:        "recordContradicted",
+		Severity:    Info,
+		Description: "A report of a backend server arrived late, or a second time, at the control host named, which took the server over; this host has a newer one and sent its record again. count is the number since the last such event.",
+		Action:      "If such events go on, check the path between the server and the control hosts.",
+	},
 }
--- a/internal/serve/hingecontrol/announce.go
+++ b/internal/serve/hingecontrol/announce.go
@@ -23,6 +23,9 @@
 
 func (c *Control) mergeRecords(now time.Time, records []hingeannounce.Record) {
 	c.source.Merge(now, records)
+	if x := c.source.TakeContradicted(); x.Count > 0 {
+		c.recordContradicted(now, x)
+	}
 	if c.source.TakeDirectoryFull() {
 		c.options.Recorder.Record(time.Now(), hingeevents.DirectoryFull, hingeevents.Fields{
 			Count:  hingeannounce.MaxServers,
@@ -37,10 +40,24 @@
 	c.source.HandleLeave(now, id, i)
 }
 
-// RecordRefusal records a rejected announcement. It writes at most one event per refusalInterval, as
+// recordContradicted records that reports of servers were late at other hosts.
+func (c *Control) recordContradicted(now time.Time, x hingeannounce.Contradicted) {
+	c.contradictedCount.Add(x.Count)
+	count, ok := c.contradicted.add(now, x.Count)
+	if !ok {
+		return
+	}
+	c.options.Recorder.Record(time.Now(), hingeevents.RecordContradicted, hingeevents.Fields{
+		Server: x.Server,
+		Host:   x.Owner,
+		Count:  count,
+	})
+}
+
+// RecordRefusal records a rejected announcement. It writes at most one event per reportInterval, as
 // an unrelated sender may send any number.
 func (c *Control) RecordRefusal(now time.Time, id hingeids.ServerID, cause error) {
-	count, ok := c.refusals.add(now)
+	count, ok := c.refusals.add(now, 1)
 	if !ok {
 		return
 	}
@@ -51,26 +68,27 @@
 	})
 }
 
-// A sender of thousands of announcements per second must not fill the log.
-const refusalInterval = time.Second
+// reportInterval is the least time between two events of one kind that other hosts or senders cause: thousands per
+// second must not fill the log.
+const reportInterval = time.Second
 
-type refusals struct {
+// occurrences counts what is recorded once in reportInterval.
+type occurrences struct {
 	mu           sync.Mutex
 	count        int64
 	lastRecorded time.Time
 }
 
-// add returns the number of rejections since the last event, and true if an event is to be recorded
-// now.
-func (r *refusals) add(now time.Time) (int64, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.count++
-	if !r.lastRecorded.IsZero() && now.Sub(r.lastRecorded) < refusalInterval {
+// add adds n occurrences and returns their number since the last event, and true if an event is to be recorded now.
+func (o *occurrences) add(now time.Time, n int64) (int64, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.count += n
+	if !o.lastRecorded.IsZero() && now.Sub(o.lastRecorded) < reportInterval {
 		return 0, false
 	}
-	count := r.count
-	r.count = 0
-	r.lastRecorded = now
+	count := o.count
+	o.count = 0
+	o.lastRecorded = now
 	return count, true
 }
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -107,8 +107,11 @@
 	entryHosts atomic.Int64
 	// pendingRecords are changes of the list of poison requests that wait to be proposed.
 	pendingRecords chan hingepoison.Record
-	refusals       refusals
-	reads          readCounts
+	// refusals are refused announcements, contradicted the records of other hosts that lost against one of this host.
+	refusals          occurrences
+	contradicted      occurrences
+	contradictedCount atomic.Int64
+	reads             readCounts
 	// unreadableSince is since when the configuration can't be read; zero while it can.
 	unreadableSince hingeboard.Cell[time.Time]
 	done            chan struct{}
--- a/internal/serve/hingecontrol/poison.go
+++ b/internal/serve/hingecontrol/poison.go
@@ -47,7 +47,7 @@
 func (c *Control) WriteMetrics(w io.Writer) {
 	// A failed write means that the client has disconnected.
 	_, _ = fmt.Fprintf(w, "swifthinge_poison_requests %d\n", len(c.PoisonRequests().Load().Refused()))
-	c.writeReadMetrics(w)
+	c.writeMetrics(w)
 }
 
 func (c *Control) proposeRecords(ctx context.Context) error {
--- a/internal/serve/hingecontrol/read.go
+++ b/internal/serve/hingecontrol/read.go
@@ -129,12 +129,13 @@
 	return err
 }
 
-// writeReadMetrics writes the metrics of reads in the Prometheus text format.
-func (c *Control) writeReadMetrics(w io.Writer) {
+// writeMetrics writes the metrics of reads and of records of servers in the Prometheus text format.
+func (c *Control) writeMetrics(w io.Writer) {
 	c.reads.write(w)
 	unreadable := time.Duration(0)
 	if since := c.unreadableSince.Load(); since != nil && !since.IsZero() {
 		unreadable = hingeclock.BootTime().Sub(*since)
 	}
 	_, _ = fmt.Fprintf(w, "swifthinge_config_unreadable_seconds %g\n", unreadable.Seconds())
+	_, _ = fmt.Fprintf(w, "swifthinge_records_contradicted_total %d\n", c.contradictedCount.Load())
 }
