Entry hosts return to a restarted control host the records that it lacks

After all control hosts had been restarted, a server that ended meanwhile stayed in use at the entry hosts for good: no control host knew of it, so none could say it silent, and followers only ever add to what they have.

Cause: control hosts have their records in memory and get them back from each other and from servers that still report, but not from the entry hosts. Not chosen: a follower that drops what its control hosts don't name, since each of them may lack what another has (a cut), and comparing all of them at each restart grows with the fleet.

--- a/internal/membership/hingeannounce/directory.go
+++ b/internal/membership/hingeannounce/directory.go
@@ -453,6 +453,17 @@
 	return out
 }
 
+// Lacked returns the records whose digests aren't among those given.
+func (d *Directory) Lacked(named map[Digest]bool) []Record {
+	var out []Record
+	for _, e := range d.records {
+		if !named[e.digest] {
+			out = append(out, e.record)
+		}
+	}
+	return out
+}
+
 // Since returns the records changed after a revision, in the order in which their
 // incarnations became known, so that of two servers at one address the present one comes
 // last.
--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -43,6 +43,8 @@
 //  12. An entry host that needs others requests a few of them. No host holds a list of all.
 //  13. A configuration that is too large for a response is fetched in parts. The largest one that is accepted is limited
 //     by the operators' API alone.
+//  14. Control hosts have their records in memory only. An entry host returns to one that was restarted the records that
+//     it doesn't name, or a server that ended while all control hosts were down would be used for good.
 package hingefollow
 
 import (
@@ -223,6 +225,9 @@
 	OnRecords func(now time.Time, records []hingeannounce.Record)
 	// Holds reports whether the host has the record with a digest.
 	Holds func(g hingeannounce.Digest) bool
+	// Lacked returns the records that the host has and whose digests aren't among those given. Control hosts, which get
+	// all records from each other, leave it out.
+	Lacked func(named map[hingeannounce.Digest]bool) []hingeannounce.Record
 	// OnFetchError, if set, is called when a large configuration wasn't fetched, at most once in fetchErrorInterval.
 	OnFetchError func(from hingeids.HostID, err error)
 }
@@ -291,6 +296,7 @@
 	for {
 		f.refreshHosts(ctx, f.settings.Clock())
 		f.startFetch(ctx, f.settings.Clock())
+		f.startReturns(ctx, f.settings.Clock())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -388,6 +394,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.noteDigests(now, id, resp.Digests)
+	f.noteNamed(now, h, resp)
 	h.synced = !resp.More || h.synced && h.incarnation == resp.Incarnation
 	f.hasRecords = f.hasRecords || h.synced && resp.Change > 0
 	h.lastSeen = now
--- a/internal/membership/hingefollow/follow_test.go
+++ b/internal/membership/hingefollow/follow_test.go
@@ -80,6 +80,12 @@
 	return d.records.Holds(g)
 }
 
+func (d *directory) lacked(named map[hingeannounce.Digest]bool) []hingeannounce.Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.records.Lacked(named)
+}
+
 // forget removes all records.
 func (d *directory) forget() {
 	d.mu.Lock()
@@ -194,6 +200,7 @@
 		Clock:     time.Now,
 		OnRecords: d.addRecords,
 		Holds:     d.holds,
+		Lacked:    d.lacked,
 	}, x.network.Link(self), []hingeids.HostID{seed})
 	x.followers = append(x.followers, f)
 	go func() {
--- a/internal/membership/hingefollow/hosts.go
+++ b/internal/membership/hingefollow/hosts.go
@@ -11,6 +11,7 @@
 
 	"github.com/swifthinge/swifthinge/internal/core/hingeclock"
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 )
 
 type host struct {
@@ -33,9 +34,13 @@
 	documentLate bool
 	// sending is set while it has further changes (rule 11). synced is set once it had none,
 	// and resync if the next poll has to request all changes.
-	sending      bool
-	synced       bool
-	resync       bool
+	sending bool
+	synced  bool
+	resync  bool
+	// named are the digests that it sent since its restart, nil once the records that it lacks were returned to it, which
+	// is due at returnAt (rule 14).
+	named        map[hingeannounce.Digest]bool
+	returnAt     time.Time
 	pollingSince time.Time
 	stop         context.CancelFunc
 	polling      bool
--- a/internal/membership/hingefollow/reports_test.go
+++ b/internal/membership/hingefollow/reports_test.go
@@ -30,12 +30,11 @@
 		copies:   true,
 		cuts:     true,
 		pauses:   true,
+		wipes:    true,
 		crashes:  true,
 		leaves:   true,
 		restarts: true,
 	}
-	withRestarts := everything
-	withRestarts.wipes = true
 	for _, x := range []struct {
 		name     string
 		plan     reportPlan
@@ -47,8 +46,8 @@
 		{name: "late and again, 3 control hosts", controls: 3, draws: 30, plan: reportPlan{late: true, copies: true}},
 		{name: "everything, 2 control hosts", controls: 2, draws: 30, plan: everything},
 		{name: "everything, 3 control hosts", controls: 3, draws: 60, plan: everything},
-		{name: "everything, 9 control hosts", controls: 9, draws: 30, plan: withRestarts},
-		{name: "everything, 25 control hosts", controls: 25, draws: 2, plan: withRestarts},
+		{name: "everything, 9 control hosts", controls: 9, draws: 30, plan: everything},
+		{name: "everything, 25 control hosts", controls: 25, draws: 2, plan: everything},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/membership/hingefollow/reportsim_test.go
+++ b/internal/membership/hingefollow/reportsim_test.go
@@ -208,6 +208,7 @@
 		Clock:     time.Now,
 		OnRecords: d.addRecords,
 		Holds:     d.holds,
+		Lacked:    d.lacked,
 	}, s.link(s.network.Link(id)), []hingeids.HostID{s.controls[0].id})
 	s.followers = append(s.followers, f)
 	go func() {
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -54,7 +54,8 @@
 // Source responds to followers and holds the directory of a control host. Its methods
 // are safe for concurrent use.
 type Source struct {
-	// self is the incarnation of this control host.
+	// host is this control host, self its incarnation.
+	host   hingeids.HostID
 	self   hingeids.Incarnation
 	origin Origin
 	clock  func() time.Time
@@ -104,6 +105,7 @@
 ) *Source {
 	s := &Source{
 		peers:      p,
+		host:       self.Host,
 		self:       self.Incarnation,
 		origin:     o,
 		clock:      clock,
@@ -116,6 +118,7 @@
 	link.HandleCall(methodFetch, s.handleFetch)
 	link.HandleCall(methodEntryHosts, s.handleEntryHosts)
 	link.HandleCall(methodDocument, s.handleDocument)
+	link.HandleCall(methodReturn, s.handleReturn)
 	return s
 }
 
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -123,6 +123,7 @@
 		Clock:     hingeclock.BootTime,
 		OnRecords: f.mergeRecords,
 		Holds:     f.holdsRecord,
+		Lacked:    f.lackedRecords,
 		OnFetchError: func(from hingeids.HostID, err error) {
 			f.record(hingeevents.RevisionMissing, hingeevents.Fields{
 				Host:   from,
@@ -264,6 +265,12 @@
 	return f.directory.Holds(g)
 }
 
+func (f *Front) lackedRecords(named map[hingeannounce.Digest]bool) []hingeannounce.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory.Lacked(named)
+}
+
 func (f *Front) record(n hingeevents.Number, fields hingeevents.Fields) {
 	f.options.Recorder.Record(time.Now(), n, fields)
 }
