A server's leaving is acknowledged once a second control host knows of it

Now the acknowledgement waits until another control host has asked for changes after this one, half a second at most; else 503, and the server tells another control host. It costs no message, as the polls carry it. A lone member acknowledges at once.

Two ways: told to all entry hosts first takes their batch (0.3 s at 985 hosts, up to two seconds for those that get digests), and waits for hosts that are gone. Held by a second host: 2 ms and a round trip.

The fake network sent the response of a process that was ended, which hid the fault; it doesn't any more. `serve` acknowledges with one host too, but its servers repeat the leaving twice a second until they end, to any host.

--- a/internal/link/hingefake/fake.go
+++ b/internal/link/hingefake/fake.go
@@ -102,6 +102,13 @@
 	return n.links[to]
 }
 
+// runs reports whether a link's host was neither removed nor replaced: a process that was killed sends no response.
+func (n *Network) runs(l *Link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[l.self] == l
+}
+
 // Link is the hingelink.Link of one host. It is safe for concurrent use.
 type Link struct {
 	network   *Network
@@ -145,7 +152,7 @@
 }
 
 // Call runs the peer's handler. If the context is done or traffic to the peer is cut, the
-// error is NotRun. If traffic from the peer is cut, the handler runs, its response is
+// error is NotRun. If traffic from the peer is cut, or the peer was removed meanwhile, the handler runs, its response is
 // lost and the error is MayHaveRun.
 func (l *Link) Call(
 	ctx context.Context, to hingeids.HostID, method hingelink.Method, body []byte,
@@ -168,7 +175,7 @@
 			eris.Errorf("host %s has no handler for method %s", to, method))
 	}
 	answer, err := h(ctx, l.self, append([]byte(nil), body...))
-	if l.network.linkTo(to, l.self) == nil {
+	if l.network.linkTo(to, l.self) == nil || !l.network.runs(peer) {
 		return nil, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeLinkDown, 0,
 			eris.Errorf("the response of host %s was lost", to))
 	}
--- a/internal/membership/hingeannounce/directory.go
+++ b/internal/membership/hingeannounce/directory.go
@@ -453,6 +453,16 @@
 	return out
 }
 
+// LocalLeaving returns the revision of this host's own change by which a server leaves, and false if the server doesn't
+// leave or another host knew it first.
+func (d *Directory) LocalLeaving(id hingeids.ServerID) (uint64, bool) {
+	e := d.records[id]
+	if e == nil || !e.record.Announcement.Leaving || !e.local {
+		return 0, false
+	}
+	return e.revision, true
+}
+
 // Lacked returns the records whose digests aren't among those given.
 func (d *Directory) Lacked(named map[Digest]bool) []Record {
 	var out []Record
--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -45,6 +45,7 @@
 //     by the operators' API alone.
 //  14. Control hosts have their records in memory only. An entry host returns to one that was restarted the records that
 //     it doesn't name, or a server that ended while all control hosts were down would be used for good.
+//  15. A server's leaving is acknowledged once another control host knows of it, or the loss of one host would revert it.
 package hingefollow
 
 import (
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -69,6 +69,7 @@
 	mu         sync.Mutex
 	directory  *hingeannounce.Directory
 	changes    changes
+	holders    holders
 	entryHosts map[hingeids.HostID]follower
 	// cached are the encoded responses of the last responseCacheTime (rule 7).
 	cached map[responseKey]cached
@@ -111,6 +112,7 @@
 		clock:      clock,
 		directory:  hingeannounce.NewDirectory(self.Host),
 		changes:    newChanges(),
+		holders:    newHolders(),
 		entryHosts: make(map[hingeids.HostID]follower),
 		cached:     make(map[responseKey]cached),
 	}
@@ -246,6 +248,11 @@
 		}
 		s.mu.Unlock()
 	}
+	if !q.EntryHost && !q.Single {
+		s.mu.Lock()
+		s.holders.note(from, q.Change)
+		s.mu.Unlock()
+	}
 	// Without a configuration there is nothing to confirm. A follower that isn't ready gets
 	// its response immediately, but not then: it would poll in a busy loop.
 	confirmed := q.ConfirmNewest && s.origin.Documents().Load().Version > 0 && s.readFromLeader(ctx)
--- a/internal/serve/hingecontrol/announce.go
+++ b/internal/serve/hingecontrol/announce.go
@@ -1,6 +1,7 @@
 package hingecontrol
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -13,12 +14,16 @@
 
 // Announce handles the announcement of a backend server. It rejects a server of a service that isn't
 // in the configuration, so that an unrelated sender can't replace the record of a known server that
-// has the same id.
-func (c *Control) Announce(now time.Time, a hingeannounce.Announcement) error {
+// has the same id. If the server leaves, it returns once another control host knows of it, or
+// hingefollow.ErrHeldHereOnly.
+func (c *Control) Announce(ctx context.Context, now time.Time, a hingeannounce.Announcement) error {
 	if !c.view.Load().Table().HasService(a.Service) {
 		return eris.Errorf("service %q isn't in the configuration", a.Service)
 	}
-	return c.source.HandleAnnouncement(now, a)
+	if err := c.source.HandleAnnouncement(now, a); err != nil || !a.Leaving {
+		return err
+	}
+	return c.source.AwaitLeaving(ctx, a.Server)
 }
 
 func (c *Control) mergeRecords(now time.Time, records []hingeannounce.Record) {
@@ -35,9 +40,10 @@
 }
 
 // HandleLeave handles the message by which a backend server announces that it leaves. The incarnation
-// is zero if the message doesn't contain it.
-func (c *Control) HandleLeave(now time.Time, id hingeids.ServerID, i hingeids.Incarnation) {
+// is zero if the message doesn't contain it. It returns as Announce does.
+func (c *Control) HandleLeave(ctx context.Context, now time.Time, id hingeids.ServerID, i hingeids.Incarnation) error {
 	c.source.HandleLeave(now, id, i)
+	return c.source.AwaitLeaving(ctx, id)
 }
 
 // recordContradicted records that reports of servers were late at other hosts.
--- a/internal/serve/hingefront/nopath_test.go
+++ b/internal/serve/hingefront/nopath_test.go
@@ -298,7 +298,7 @@
 	}()
 	go func() {
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-			_ = f.control.Announce(hingeclock.BootTime(), hingeannounce.Announcement{
+			_ = f.control.Announce(context.Background(), hingeclock.BootTime(), hingeannounce.Announcement{
 				Server:      hingeids.ServerID(fmt.Sprint("app-", i+1)),
 				Incarnation: 1,
 				Sequence:    sequence,
