A change of any size is forwarded to the leader, and read from it, in parts

An operator's change of over 4 MiB was refused with 503 at each control host but the leader, and a host whose own copy is old or missing answered every read of such a configuration with 503. The operator got through once it had come to the leader by chance.

Found by reading each call for its largest body; the tests' network let bodies of any size pass, and refuses them now as the link does.

Proposals and states of over 3 MiB go in parts (rule 12); a proposal counts with its last part, and parts of two states are never joined. Incomplete proposals take 32 MiB at most.

TestLargeStateIsProposedAndReadAtAnyHost at 4 MiB + 1 and 8 MiB before: "body of call config.propose has 4194312 bytes", no read; now 1 byte to 8 MiB hold.

--- a/internal/agreement/hingegroup/doc.go
+++ b/internal/agreement/hingegroup/doc.go
@@ -53,4 +53,6 @@
 //     each host of a list too; a host in both lists stores one of the two at most. A majority of the configured hosts
 //     isn't enough: two that have lost their disks, cut off from the third, would found a group beside its own. That two lists
 //     without a common host are in use before any group has started is excluded by the settings alone.
+//  12. What may be larger than one call is sent in parts: messages of the log, proposals to the leader and the state of
+//     the leader. A proposal counts once its last part has arrived; parts of two states are never joined.
 package hingegroup
--- a/internal/agreement/hingegroup/group.go
+++ b/internal/agreement/hingegroup/group.go
@@ -153,6 +153,11 @@
 	contacts    func() []hingeids.HostID
 	stateReads  hingeflight.Shared[stateRead]
 	discoveries hingeflight.Shared[discovery]
+	// sendingParts holds an item while a proposal is sent in parts; one at a time bounds the memory. staged are those of
+	// other hosts.
+	sendingParts chan struct{}
+	lastPartsID  atomic.Uint64
+	staged       staged
 	// reopens counts the restarts of the member from its disk (rule 8).
 	reopens atomic.Uint64
 	done    chan struct{}
@@ -167,6 +172,11 @@
 		machine:  m,
 		inbox:    make(chan func(now time.Time), inboxSize),
 		done:     make(chan struct{}),
+
+		sendingParts: make(chan struct{}, 1),
+		staged: staged{
+			proposals: make(map[hingeids.HostID]*stagedProposal),
+		},
 	}
 	g.stateReads.MaxDelay = maxSharedDelay
 	g.discoveries.MaxDelay = maxSharedDelay
--- a/internal/agreement/hingegroup/handlers.go
+++ b/internal/agreement/hingegroup/handlers.go
@@ -28,6 +28,7 @@
 			return encode(g.handleLocal(ctx, name, body)), nil
 		})
 	}
+	g.link.HandleCall(g.method(operationPart), g.onProposalPart)
 	g.link.HandleCall(g.method("empty"), g.onDiskState)
 	g.link.HandleCall(g.method("found"), g.onBootstrap)
 	g.link.HandleCall(g.method("bootstrapState"), g.onBootstrapQuery)
--- a/internal/agreement/hingegroup/propose.go
+++ b/internal/agreement/hingegroup/propose.go
@@ -29,6 +29,10 @@
 	// Member is the answering host, and LastIndex the end of its log. A proposal's answer lacks both.
 	Member    hingelog.Member `cbor:"6,keyasint,omitzero"`
 	LastIndex hingelog.Index  `cbor:"7,keyasint,omitempty"`
+	// Total, Digest and Offset are those of a state of which Result is a part (rule 12).
+	Total  int    `cbor:"8,keyasint,omitempty"`
+	Digest uint64 `cbor:"9,keyasint,omitempty"`
+	Offset int    `cbor:"10,keyasint,omitempty"`
 }
 
 type submission struct {
@@ -196,7 +200,21 @@
 		}
 		return g.handleLocal(ctx, op, body), nil
 	}
-	b, err := g.link.Call(ctx, h, g.method(op), body)
+	if op == operationState {
+		return g.callState(ctx, h)
+	}
+	return g.call(ctx, h, op, body)
+}
+
+// call sends a request to another host.
+func (g *Group) call(ctx context.Context, h hingeids.HostID, op operation, body []byte) (outcome, error) {
+	var b []byte
+	var err error
+	if op == operationPropose && len(body) > maxWhole {
+		b, err = g.proposeInParts(ctx, h, body)
+	} else {
+		b, err = g.link.Call(ctx, h, g.method(op), body)
+	}
 	if err != nil {
 		return outcome{}, err
 	}
--- a/internal/agreement/hingegroup/state.go
+++ b/internal/agreement/hingegroup/state.go
@@ -16,9 +16,7 @@
 	if g.member == nil {
 		return
 	}
-	g.link.HandleCall(g.method(operationState), func(ctx context.Context, _ hingeids.HostID, _ []byte) ([]byte, error) {
-		return encode(g.stateAsLeader(ctx)), nil
-	})
+	g.link.HandleCall(g.method(operationState), g.onState)
 }
 
 // SetContacts sets a function that returns hosts to contact besides those of SetExtraHosts and the members,
--- a/internal/link/hingefake/fake.go
+++ b/internal/link/hingefake/fake.go
@@ -169,6 +169,10 @@
 		<-ctx.Done()
 		return nil, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeLinkDown, 0, ctx.Err())
 	}
+	if len(body) > hingelink.MaxCall {
+		return nil, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeTooLarge, 0,
+			eris.Errorf("body of call %s has %d bytes", method, len(body)))
+	}
 	h := peer.callHandler(method)
 	if h == nil {
 		return nil, hingeverdict.New(hingeverdict.NotRun, hingeverdict.CodeLinkDown, 0,
@@ -179,6 +183,10 @@
 		return nil, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeLinkDown, 0,
 			eris.Errorf("the response of host %s was lost", to))
 	}
+	if err == nil && len(answer) > hingelink.MaxCall {
+		return nil, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeTooLarge, 0,
+			eris.Errorf("response of call %s has %d bytes", method, len(answer)))
+	}
 	return answer, err
 }
 
