One large message at a time is on its way to a member of the log

A change of 8 MiB never reached the other control hosts over a link of 7.5 Mbit/s, and 210 MB were sent in the first minute: the operator had no answer, and the leader's memory held up to 64 copies of the entry (a small control host has 280 MB).

Causes, told apart by a trace of all messages in the test: each heartbeat overtakes the large message, is rejected, and has the entries sent again; and a part of 1 MiB had half a second, which takes 17 Mbit/s.

Two ways: the transport drops what it is busy with (tried first: the leader and the member then answer each other without a wait), or tells the log, which holds entries back. The second is built.

--- a/internal/agreement/hingegroup/large_test.go
+++ b/internal/agreement/hingegroup/large_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -67,6 +68,50 @@
 	}
 }
 
+// Guards against a state that is joined from parts of two states, and a read that fails while the state changes.
+func TestLargeStateIsReadWhileItChanges(t *testing.T) {
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		other := g.notLeading("")
+		g.kill(other)
+		g.startUnwritable(other, emptyDisk())
+		g.calls.setLatency(20 * time.Millisecond)
+		leader := g.hosts[g.notLeading(other)].group.Leader()
+		var changes sync.WaitGroup
+		changes.Go(func() {
+			for v := range hingeversion.Version(20) {
+				if err := g.propose(leader, incompressible(v+2, 4<<20)); err != nil {
+					t.Errorf("version %d: %v", v+2, err)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		whole := 0
+		for range 20 {
+			b, err := g.hosts[other].group.ReadState(context.Background())
+			if err != nil {
+				continue
+			}
+			m := hingeversion.New()
+			if err := m.Restore(b); err != nil {
+				t.Fatal(err)
+			}
+			got := m.Documents().Load()
+			if got.Version > 1 {
+				want := incompressible(got.Version, 4<<20)
+				if !bytes.Equal(want.Body, got.Body) {
+					t.Fatalf("version %d has parts of another one", got.Version)
+				}
+			}
+			whole++
+		}
+		changes.Wait()
+		if whole < 10 {
+			t.Errorf("%d of 20 reads succeeded", whole)
+		}
+	})
+}
+
 // Guards against parts that are joined though they don't belong together, and against memory for proposals that hosts have given up.
 func TestPartsOfAProposal(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -111,3 +156,86 @@
 		}
 	}
 }
+
+// Guards against a large configuration that never reaches the other control hosts over a slow link, and against copies of it that are queued at
+// each heartbeat that overtakes it, until the process is ended for its memory.
+func TestLargeChangeOverASlowLink(t *testing.T) {
+	const (
+		size = 8 << 20
+		// rate is that of a link of 7.5 Mbit/s.
+		rate = 7_500_000 / 8
+	)
+	withOpenGroup(t, func(t *testing.T, g *openGroup) {
+		g.mustChange("core-1", 1)
+		leader := g.hosts["core-1"].group.Leader()
+		g.calls.setRate(rate)
+		g.calls.takeBytes()
+		began := time.Now()
+		// The caller gives up before the change is committed.
+		_ = g.propose(leader, incompressible(2, size))
+		for _, x := range g.hosts {
+			for x.machine.Documents().Load().Version < 2 && time.Since(began) < time.Minute {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		took := time.Since(began)
+		if limit := size/rate*time.Second + 3*time.Second; took > limit {
+			t.Errorf("the change is known to all hosts after %v, want at most %v", took, limit)
+		}
+		if sent, limit := g.calls.takeBytes(), 2*size*5/4; sent > limit {
+			t.Errorf("%d bytes were sent to two hosts, want at most %d", sent, limit)
+		}
+		if g.hosts["core-1"].group.Leader() != leader {
+			t.Error("the leader has changed")
+		}
+		t.Logf("known to all hosts after %v", took)
+	})
+}
+
+// Guards against entries that wait for good for a large message whose transfer has failed, and against an accepted change that is lost with the
+// leader that sent it in parts.
+func TestLargeChangesArriveAfterDrawnFaults(t *testing.T) {
+	sizes := []int{10, partSize - 100, partSize + 1, 1 << 20, 4<<20 + 1, 8 << 20}
+	for seed := range uint64(6) {
+		withOpenGroup(t, func(t *testing.T, g *openGroup) {
+			random := rand.New(rand.NewPCG(seed, 47))
+			g.mustChange("core-1", 1)
+			g.calls.setLatency(time.Duration(random.IntN(20)) * time.Millisecond)
+			g.calls.setRate(1<<20 + random.IntN(16<<20))
+			version, accepted := hingeversion.Version(1), hingeversion.Version(1)
+			for range 12 {
+				victim, other := seeds[random.IntN(3)], seeds[random.IntN(3)]
+				var down *openHost
+				if random.IntN(2) == 0 {
+					down = g.kill(victim)
+				} else {
+					g.network.Cut(victim, other)
+				}
+				for range 3 {
+					version++
+					at := seeds[random.IntN(3)]
+					if g.hosts[at] != nil && g.propose(at, incompressible(version, sizes[random.IntN(len(sizes))])) == nil {
+						accepted = version
+					}
+				}
+				g.network.Restore(victim, other)
+				if down != nil {
+					g.start(victim, down.disk, false)
+				}
+				time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
+			}
+			g.calls.setRate(0)
+			time.Sleep(3 * time.Second)
+			last := incompressible(version+1, 5<<20)
+			if err := g.propose(seeds[random.IntN(3)], last); err != nil {
+				t.Errorf("seed %d: a change 3 s after the last fault: %v", seed, err)
+			}
+			time.Sleep(2 * time.Second)
+			for id, x := range g.hosts {
+				if d := x.machine.Documents().Load(); d.Version != last.Version || !bytes.Equal(d.Body, last.Body) || accepted > d.Version {
+					t.Errorf("seed %d: host %s has version %d, want %d; %d was accepted", seed, id, d.Version, last.Version, accepted)
+				}
+			}
+		})
+	}
+}
--- a/internal/agreement/hingegroup/state_test.go
+++ b/internal/agreement/hingegroup/state_test.go
@@ -19,8 +19,10 @@
 type callCounts struct {
 	mu     sync.Mutex
 	counts map[hingelink.Method]int
-	// latency delays each call.
-	latency time.Duration
+	// latency delays each call, and so does its size at bytesPerSecond, if that is set. bytes counts the bodies.
+	latency        time.Duration
+	bytesPerSecond int
+	bytes          int
 }
 
 func (c *callCounts) add(method hingelink.Method) {
@@ -38,10 +40,30 @@
 	c.latency = d
 }
 
-func (c *callCounts) delay() time.Duration {
+func (c *callCounts) setRate(bytesPerSecond int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.latency
+	c.bytesPerSecond = bytesPerSecond
+}
+
+// takeBytes returns the bytes that were sent since the last call.
+func (c *callCounts) takeBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.bytes
+	c.bytes = 0
+	return n
+}
+
+// delay returns the time that a call with a body takes.
+func (c *callCounts) delay(size int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bytes += size
+	if c.bytesPerSecond == 0 {
+		return c.latency
+	}
+	return c.latency + time.Duration(size)*time.Second/time.Duration(c.bytesPerSecond)
 }
 
 func (c *callCounts) of(method hingelink.Method) int {
@@ -57,7 +79,11 @@
 
 func (l *countingLink) Call(ctx context.Context, to hingeids.HostID, method hingelink.Method, body []byte) ([]byte, error) {
 	l.counts.add(method)
-	time.Sleep(l.counts.delay())
+	select {
+	case <-time.After(l.counts.delay(len(body))):
+	case <-ctx.Done():
+		return nil, hingeverdict.New(hingeverdict.MayHaveRun, hingeverdict.CodeLinkDown, 0, ctx.Err())
+	}
 	return l.Link.Call(ctx, to, method, body)
 }
 
--- a/internal/agreement/hingelog/log.go
+++ b/internal/agreement/hingelog/log.go
@@ -83,6 +83,8 @@
 	retiringSince time.Time
 	// knowsReplacing means that the member acts by Members.Outgoing.
 	knowsReplacing bool
+	// waitUntil is until when entries wait for an earlier large message on its way to the member (rule 16); zero if they don't.
+	waitUntil time.Time
 }
 
 // New creates a member from the state on its disk.
--- a/internal/agreement/hingelog/replicate.go
+++ b/internal/agreement/hingelog/replicate.go
@@ -69,7 +69,7 @@
 
 func (l *Log) replicate(now time.Time) {
 	for _, m := range l.others() {
-		if p := l.progressOf(m); p.next <= l.last().Index {
+		if p := l.progressOf(m); p.next <= l.last().Index && !p.waits(now) && !now.Before(p.snapshotRetryAt) {
 			l.sendAppend(now, m, p)
 		}
 	}
@@ -103,7 +103,7 @@
 			Term:  t,
 			Index: p.next - 1,
 		},
-		Entries:      l.batch(p),
+		Entries:      l.batch(now, p),
 		Commit:       l.commit,
 		SentAt:       int64(now.Sub(l.started)),
 		MatchIndexes: l.statedMatches(now),
@@ -112,9 +112,44 @@
 	l.send(m)
 }
 
+// maxTransfer bounds the time for which entries wait if the end of a transfer isn't reported.
+const maxTransfer = time.Minute
+
+func (p *progress) waits(now time.Time) bool {
+	return now.Before(p.waitUntil)
+}
+
+// Unsent tells that the content of a message wasn't sent, as an earlier large message is still on its way to the member.
+// Its entries wait until that has arrived or failed: each heartbeat overtakes it and is rejected, and to send the entries
+// at each rejection would fill the memory and the link with copies of them (rule 16).
+func (l *Log) Unsent(now time.Time, m Message) {
+	if l.role != leader || m.Term != l.hardState.Term || m.Kind != Append {
+		return
+	}
+	p := l.progressOf(m.To)
+	p.next = max(min(p.next, m.At.Index+1), p.match+1)
+	p.waitUntil = now.Add(maxTransfer)
+}
+
+// TransferEnded tells that a large message has been transferred to a member, or has failed. After a success the member's
+// answer is due within an election time.
+func (l *Log) TransferEnded(now time.Time, to Member, delivered bool) {
+	p := l.progress[to]
+	if p == nil || !p.waits(now) {
+		return
+	}
+	p.waitUntil = time.Time{}
+	if delivered {
+		p.waitUntil = now.Add(l.settings.ElectionTimeout)
+	}
+}
+
 // batch returns at least one entry if there is any that the member may receive: one that doesn't know
 // Members.Outgoing would act by the new voters alone.
-func (l *Log) batch(p *progress) []Entry {
+func (l *Log) batch(now time.Time, p *progress) []Entry {
+	if p.waits(now) {
+		return nil
+	}
 	out := l.entriesBetween(p.next, l.last().Index)
 	size := 0
 	for i, e := range out {
@@ -297,16 +332,23 @@
 		// messages back and forth.
 		return
 	}
+	if !m.Granted && p.waits(now) {
+		// What the member lacks is on its way.
+		return
+	}
 	if !m.Granted {
 		p.next = max(min(p.next, m.At.Index+1), p.match+1)
 		l.sendAppend(now, m.From, p)
 		return
 	}
 	p.snapshotRetryAt = time.Time{}
+	if m.At.Index > p.match {
+		p.waitUntil = time.Time{}
+	}
 	p.match = max(p.match, m.At.Index)
 	p.next = max(p.next, p.match+1)
 	l.advanceCommit(now)
-	if p.next <= l.last().Index {
+	if p.next <= l.last().Index && !p.waits(now) {
 		l.sendAppend(now, m.From, p)
 	}
 }
