An entry host says for how long it has served by an old configuration

Event 807 and swifthinge_config_behind_seconds compare the newest version that a control host has named with the one in force: until now a host that fetched a large configuration too slowly, or not at all, said so only if the fetch failed. A change that isn't newer than an accepted one is acknowledged without another entry of the log: over a slow link each repetition of a change of 8 MiB was one more entry of 8 MiB.

--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -188,6 +188,9 @@
 // State is the replicated state of a follower. A published state is immutable.
 type State struct {
 	Document hingeversion.Document
+	// Newest is the newest version that a control host has named, and NewestSince when one named it first.
+	Newest      hingeversion.Version
+	NewestSince time.Time
 	// PoisonRequests is the list of poison requests, which crash servers.
 	PoisonRequests hingepoison.List
 	// Ready is set once a configuration was confirmed by the leader (rule 4).
@@ -414,6 +417,10 @@
 		h.membersDigest = digestOfMembers(resp.ControlHosts)
 	}
 	next := *f.state.Load()
+	if resp.Version > next.Newest {
+		next.Newest = resp.Version
+		next.NewestSince = now
+	}
 	if resp.Document != nil && resp.Document.Version > next.Document.Version {
 		next.Document = *resp.Document
 	}
--- a/internal/observe/hingeevents/operator.go
+++ b/internal/observe/hingeevents/operator.go
@@ -9,6 +9,7 @@
 	RevisionUnread   Number = 804
 	SettingsReloaded Number = 805
 	RevisionMissing  Number = 806
+	RevisionBehind   Number = 807
 )
 
 var operatorEntries = []Entry{
@@ -56,4 +57,11 @@
 		Description: "A newer configuration was not fetched from a control host; the previous one stays in force here until it is.",
 		Action:      "Check the link to the host that the event names, if such events go on.",
 	},
+	{
+		Number:      RevisionBehind,
+		Name:        "revisionBehind",
+		Severity:    Warning,
+		Description: "This entry host has known of the revision named for took, and still serves by an older one; it says so every five seconds.",
+		Action:      "Look for revisionMissing and revisionUnread on the same host, and for linkLost.",
+	},
 }
--- a/internal/serve/hingecontrol/control.go
+++ b/internal/serve/hingecontrol/control.go
@@ -343,9 +343,13 @@
 	return out
 }
 
-// ProposeDocument proposes a configuration and waits until it is accepted (rule 1). The error contains
-// the verdict.
+// ProposeDocument proposes a configuration and waits until it is accepted (rule 1). One that isn't newer than an accepted
+// one is accepted without effect, so that operators who repeat a large change don't fill the log with it. The error
+// contains the verdict.
 func (c *Control) ProposeDocument(ctx context.Context, d hingeversion.Document) error {
+	if d.Version <= c.machine.Documents().Load().Version {
+		return nil
+	}
 	body, err := d.Encode()
 	if err != nil {
 		return err
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -184,6 +185,9 @@
 	group.Go(func() error {
 		return f.watchConfiguration(inner)
 	})
+	group.Go(func() error {
+		return f.watchBehind(inner)
+	})
 	group.Go(func() error {
 		defer stop()
 		return f.server.Run(inner, l)
@@ -354,4 +358,6 @@
 func (f *Front) WriteMetrics(w io.Writer) {
 	f.proxy.WriteMetrics(w)
 	f.tunnels.WriteMetrics(w)
+	// A failed write means that the client has disconnected.
+	_, _ = fmt.Fprintf(w, "swifthinge_config_behind_seconds %g\n", f.behind(hingeclock.BootTime()).Seconds())
 }
