serve: a host that missed changes gets all documents if the difference is larger

An entry host of `serve` that was cut off while operators replaced many documents stayed at its old revision for good: the difference of up to 64 revisions lists each path that was deleted, came to more than 4 MiB, and no message may be larger. All documents together are limited to 3 MiB, so they are sent where the difference is larger than that.

--- a/internal/agreement/hingeconfig/change.go
+++ b/internal/agreement/hingeconfig/change.go
@@ -22,9 +22,9 @@
 const (
 	maxPathBytes   = 256
 	maxChangeBytes = 2 << 20
-	// maxTotalBytes limits all documents together: a host that is far behind receives
+	// MaxTotalBytes limits all documents together: a host that is far behind receives
 	// them in one answer (hingelink.MaxCall).
-	maxTotalBytes = 3 << 20
+	MaxTotalBytes = 3 << 20
 )
 
 // Change writes a set of documents and deletes a set of paths in one revision.
--- a/internal/agreement/hingeconfig/machine.go
+++ b/internal/agreement/hingeconfig/machine.go
@@ -123,9 +123,9 @@
 			AcceptedChange: m.firstConflicting(c.Expected),
 		}
 	}
-	if n := totalBytes(withChanges(m.state.Documents, c.Puts, c.Deletes)); n > maxTotalBytes {
+	if n := totalBytes(withChanges(m.state.Documents, c.Puts, c.Deletes)); n > MaxTotalBytes {
 		return malformedAnswer(m.state.Revision,
-			eris.Errorf("the configuration would have %d bytes, the limit is %d", n, maxTotalBytes))
+			eris.Errorf("the configuration would have %d bytes, the limit is %d", n, MaxTotalBytes))
 	}
 	m.accept(c)
 	m.state.OperatorRevision = m.state.Revision
--- a/internal/agreement/hingeconfig/machine_test.go
+++ b/internal/agreement/hingeconfig/machine_test.go
@@ -146,7 +146,7 @@
 // without a configuration.
 func TestTotalSizeIsLimited(t *testing.T) {
 	m := New()
-	half := strings.Repeat("x", maxTotalBytes/2)
+	half := strings.Repeat("x", MaxTotalBytes/2)
 	got := []Result{
 		mustApply(t, m, put("c1", "yann", 0, "a", half)).Result,
 		mustApply(t, m, put("c2", "yann", 1, "b", half)).Result,
--- a/internal/agreement/hingeconfig/view.go
+++ b/internal/agreement/hingeconfig/view.go
@@ -75,6 +75,15 @@
 	return d, true
 }
 
+// Bytes returns the size of the paths and documents.
+func (d Difference) Bytes() int {
+	n := totalBytes(d.Puts)
+	for _, p := range d.Deletes {
+		n += len(p)
+	}
+	return n
+}
+
 // FullDifference returns all documents as a difference from revision 0.
 func (v *View) FullDifference() Difference {
 	return Difference{
--- a/internal/agreement/hingespread/source.go
+++ b/internal/agreement/hingespread/source.go
@@ -106,7 +106,7 @@
 		return v.FullDifference()
 	}
 	d, ok := v.Diff(applied, v.Revision)
-	if !ok {
+	if !ok || d.Bytes() > hingeconfig.MaxTotalBytes {
 		return v.FullDifference()
 	}
 	return d
