hingesoak: reports that are late or arrive again, and a configuration that grows past each limit

At the end, once every silence that late reports can cause is over, all guarantees of the recovery are checked, and that the newest version is in force at each entry host.

--- a/cmd/swifthinge-soak/main.go
+++ b/cmd/swifthinge-soak/main.go
@@ -60,6 +60,14 @@
 				Name:  "needs",
 				Usage: "servers state rate limits, that they leave, and backoffs in their answers",
 			},
+			&cli.BoolFlag{
+				Name:  "late",
+				Usage: "reports of servers arrive late, and again at other control hosts",
+			},
+			&cli.IntFlag{
+				Name:  "growth",
+				Usage: "number of routes that each version of the configuration has more than the one before",
+			},
 			&cli.StringFlag{
 				Name:  "losses",
 				Usage: "lose, replace and cut off control hosts instead of their other faults: tolerable or overlapping",
@@ -91,6 +99,8 @@
 			Duration:       c.Duration("lasts"),
 			PoisonRequests: c.Int("poison"),
 			Needs:          c.Bool("needs"),
+			LateReports:    c.Bool("late"),
+			Growth:         c.Int("growth"),
 			Losses:         hingesoak.Losses(c.String("losses")),
 			Out:            os.Stdout,
 		})
--- a/internal/soak/hingesoak/operator.go
+++ b/internal/soak/hingesoak/operator.go
@@ -19,16 +19,22 @@
 	sequence atomic.Uint64
 	// ownRoutes adds to each version a route of its own, besides those of the versions before.
 	ownRoutes bool
+	// growth is the number of routes that each version has more than the one before.
+	growth int
 }
 
 // keptRoutes is the number of versions whose own routes a version has: enough for the changes of some seconds.
 const keptRoutes = 48
 
-func newOperator(f *fleet, c *checker, ownRoutes bool) *operator {
+// maxRoutes is the largest number of routes, some 7 MB.
+const maxRoutes = 32_000
+
+func newOperator(f *fleet, c *checker, ownRoutes bool, growth int) *operator {
 	return &operator{
 		fleet:     f,
 		checker:   c,
 		ownRoutes: ownRoutes,
+		growth:    growth,
 	}
 }
 
@@ -38,6 +44,9 @@
 	for i := max(v, keptRoutes) - keptRoutes + 1; o.ownRoutes && i <= v; i++ {
 		added = append(added, ownRoute(i))
 	}
+	for i := range min(o.growth*int(v), maxRoutes) {
+		added = append(added, fmt.Sprintf("/grown-%d/", i))
+	}
 	return wire.Put(v, requestHost, plainService, engineService, added...)
 }
 
--- a/internal/soak/hingesoak/plan.go
+++ b/internal/soak/hingesoak/plan.go
@@ -36,6 +36,9 @@
 	mode     mode
 	// limit is the rate limit that a server names.
 	limit hingeids.RequestsPerSecond
+	// reports is the number of reports of each server that are late; again says that they arrive a second time.
+	reports int
+	again   bool
 	loss
 }
 
@@ -48,6 +51,8 @@
 		return f.lossString()
 	}
 	switch f.kind {
+	case late:
+		return f.lateString()
 	case limit:
 		return fmt.Sprintf("server %d names a limit of %v/s for %v", f.index, f.limit, f.duration)
 	case leave, refuse:
@@ -90,6 +95,10 @@
 // inject starts a fault and returns; the fault ends after its duration.
 func (s *soak) inject(ctx context.Context, f fault) {
 	switch {
+	case f.kind == late:
+		for _, x := range s.servers {
+			x.reports.begin(f)
+		}
 	case f.kind == limit || f.kind == leave || f.kind == refuse:
 		s.servers[f.index].setNeed(f)
 	case f.kind == link:
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -38,6 +38,7 @@
 	restarts atomic.Uint64
 	down     atomic.Bool
 	need     atomic.Pointer[need]
+	reports  reportState
 }
 
 // name returns the server's name, which changes with each restart.
@@ -104,12 +105,22 @@
 		}
 		c := wire.Heartbeat(x.name(), x.service(), x.proxy.address(), "zone-1", x.stage, x.seq.Add(1))
 		controls := f.controlHosts()
-		status, _, err := call(ctx, controls[hostIndex%len(controls)].settings.ControlAddress, c)
+		host := controls[hostIndex%len(controls)]
+		switch l := x.reports.next(); {
+		case l.again:
+			x.sendLate(ctx, controls[(hostIndex+1)%len(controls)], c, l.delay)
+		case l.left > 0:
+			x.sendLate(ctx, host, c, l.delay)
+			sleepUntil(ctx, time.Now().Add(reportTimeout))
+			hostIndex++
+			continue
+		}
+		status, _, err := call(ctx, host.settings.ControlAddress, c)
 		if err != nil || status != http.StatusOK {
 			hostIndex++
 			continue
 		}
-		sleepUntil(ctx, time.Now().Add(time.Second))
+		sleepUntil(ctx, time.Now().Add(reportInterval))
 	}
 }
 
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -23,6 +23,10 @@
 //     begin at any time, and only take no more disks than the settings say.
 //  10. The last loss follows an accepted change at once. Then each control host must return the newest accepted
 //     configuration, with the content that was sent, within the contact time, or the recovery time after overlapping losses.
+//  11. With late reports, the next few reports of all servers arrive late, or a second time at another control host, again and again.
+//     A server whose reports are acknowledged again is used once every control host that got a late one has found it silent.
+//  12. With growth, versions get larger by the same number of routes, up to what control hosts accept. The newest one is in force
+//     at each entry host at the end.
 package hingesoak
 
 import (
@@ -55,6 +59,10 @@
 	PoisonRequests int
 	// Needs makes servers state that they are in need.
 	Needs bool
+	// LateReports makes reports of servers arrive late, and again at other control hosts.
+	LateReports bool
+	// Growth is the number of routes that each version has more than the one before.
+	Growth int
 	// Losses injects losses of control hosts in place of the other faults at control hosts; empty means none.
 	Losses Losses
 	Out    io.Writer
@@ -140,7 +148,7 @@
 	if err := s.startServers(runCtx); err != nil {
 		return Report{}, err
 	}
-	operator := newOperator(s.fleet, s.checker, o.Losses != "")
+	operator := newOperator(s.fleet, s.checker, o.Losses != "" || o.Growth > 0, o.Growth)
 	if !waitFor(runCtx, startTimeout, func() bool {
 		return operator.sendNext(runCtx, 1)
 	}) {
@@ -182,6 +190,12 @@
 			return cmp.Compare(a.at, b.at)
 		})
 	}
+	if s.options.LateReports {
+		faults = append(faults, planReports(rand.New(rand.NewPCG(s.options.Seed, 10)), s.options)...)
+		slices.SortStableFunc(faults, func(a, b fault) int {
+			return cmp.Compare(a.at, b.at)
+		})
+	}
 	var losses sync.WaitGroup
 	if s.options.Losses != "" {
 		faults = slices.DeleteFunc(faults, func(f fault) bool {
@@ -222,7 +236,8 @@
 		return
 	}
 	time.Sleep(applyBound)
-	if s.options.Losses != "" {
+	s.awaitSilence(ctx)
+	if s.options.Losses != "" || s.options.Growth > 0 {
 		newProber("final-prober", s.fleet, s.checker, s.options.Seed).checkInForce(ctx)
 	}
 	c := newCaller(s.fleet, s.checker, s.options.Seed, minCallers)
--- a/internal/soak/hingesoak/soak_test.go
+++ b/internal/soak/hingesoak/soak_test.go
@@ -38,6 +38,12 @@
 	runSeeds(t, "testdata/losses.txt")
 }
 
+// A server that reports must be used again after its reports were late, and a configuration that has grown past a message's
+// size must be in force, despite the same faults. Otherwise callers of the server are refused, or served by old routes.
+func TestSeedsSurviveLateReportsAndGrowth(t *testing.T) {
+	runSeeds(t, "testdata/reports.txt")
+}
+
 func runSeeds(t *testing.T, file string) {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "swifthinge-fleet")
@@ -97,6 +103,10 @@
 			o.PoisonRequests = n
 		case "needs":
 			o.Needs = true
+		case "late":
+			o.LateReports = true
+		case "growth":
+			o.Growth = n
 		case "losses":
 			o.Losses = Losses(value)
 		case "lasts":
