--- a/cmd/swifthinge-soak/main.go
+++ b/cmd/swifthinge-soak/main.go
@@ -56,6 +56,10 @@
 				Name:  "poison",
 				Usage: "number of poison requests, which crash every server that runs them and are resent repeatedly",
 			},
+			&cli.IntFlag{
+				Name:  "parts",
+				Usage: "number of parts of prompts that crash every decode engine that runs a request with one, no two of them alike",
+			},
 			&cli.BoolFlag{
 				Name:  "needs",
 				Usage: "servers state rate limits, that they leave, and backoffs in their answers",
@@ -98,6 +102,7 @@
 			Entries:        c.Int("entries"),
 			Duration:       c.Duration("lasts"),
 			PoisonRequests: c.Int("poison"),
+			PoisonParts:    c.Int("parts"),
 			Needs:          c.Bool("needs"),
 			LateReports:    c.Bool("late"),
 			Growth:         c.Int("growth"),
--- a/internal/soak/hingesoak/checker.go
+++ b/internal/soak/hingesoak/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -152,13 +153,13 @@
 	c.result.Answered++
 }
 
-// detectable returns the paths of the poison requests with enough crashes to be detected, sorted.
-func (c *checker) detectable() []string {
+// detectable returns the paths of the poison requests with enough crashes to be detected, or the parts, sorted.
+func (c *checker) detectable(parts bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
 	for path, p := range c.poisons {
-		if p.crashes >= detectionCrashes {
+		if p.crashes >= detectionCrashes && strings.HasPrefix(path, poisonPart) == parts {
 			out = append(out, path)
 		}
 	}
@@ -172,7 +173,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for path, p := range c.poisons {
-		if p.crashes >= detectionCrashes {
+		if p.crashes >= detectionCrashes && !strings.HasPrefix(path, poisonPart) {
 			// The operator has lifted the block, so further crashes are no violation.
 			p.thirdCrashAt = time.Now()
 			return path, p.crashes
--- a/internal/soak/hingesoak/load.go
+++ b/internal/soak/hingesoak/load.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // caller sends sequential requests to random entry hosts over persistent connections.
@@ -77,6 +79,9 @@
 		prompt = 500
 	}
 	wire.SetCallerHeaders(q.Header, id, int(maxWait.Milliseconds()), prompt)
+	if stream {
+		wire.SetPromptParts(q.Header, fmt.Sprintf("%s:200,%08x:300", commonPart, xxhash.Sum64String(id)>>32))
+	}
 	c.checker.recordRequest(id, entry, strings.HasPrefix(path, "/once/"))
 	a, err := c.client.Do(q)
 	if err != nil {
--- a/internal/soak/hingesoak/poison.go
+++ b/internal/soak/hingesoak/poison.go
@@ -17,13 +17,31 @@
 // poisonMarker is the part of the path that identifies a poison request.
 const poisonMarker = "/poison-"
 
+// commonPart is a part of all prompts, poisonPart the prefix of the parts that crash servers.
+const (
+	commonPart = "c0ffee01"
+	poisonPart = "badbad0"
+)
+
+// poisonPartOf returns the part of a prompt that crashes servers, or "".
+func poisonPartOf(parts string) string {
+	for part := range strings.SplitSeq(parts, ",") {
+		if name, _, _ := strings.Cut(part, ":"); strings.HasPrefix(name, poisonPart) {
+			return name
+		}
+	}
+	return ""
+}
+
 type poisoner struct {
 	fleet   *fleet
 	checker *checker
 	random  *rand.Rand
-	path    string
-	sent    int
-	client  *http.Client
+	// path is that of each request, unless part is set: then no two requests are alike, and all have that part.
+	path   string
+	part   string
+	sent   int
+	client *http.Client
 }
 
 func newPoisoner(f *fleet, c *checker, seed uint64, n int) *poisoner {
@@ -43,6 +61,19 @@
 	}
 }
 
+// newPartPoisoner returns the poisoner of a part. Without a part it is the nth of the run.
+func newPartPoisoner(f *fleet, c *checker, seed uint64, n int, part string) *poisoner {
+	p := newPoisoner(f, c, seed, partSeeds+n)
+	p.part = part
+	if part == "" {
+		p.part = fmt.Sprint(poisonPart, n)
+	}
+	return p
+}
+
+// partSeeds separates the random sources of parts from those of whole requests.
+const partSeeds = 100
+
 func (p *poisoner) run(ctx context.Context) {
 	sleepUntil(ctx, time.Now().Add(time.Duration(p.random.IntN(2000))*time.Millisecond))
 	for ctx.Err() == nil {
@@ -56,18 +87,25 @@
 	p.sent++
 	entry := p.random.IntN(len(p.fleet.entries))
 	address := p.fleet.entries[entry].settings.CallerAddress
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+p.path, strings.NewReader("body of "+p.path))
+	path := p.path
+	if p.part != "" {
+		path = fmt.Sprintf("/stream/with-%s-%d-%d", p.part, p.sent, p.random.Uint32())
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("body of "+path))
 	if err != nil {
 		return false
 	}
 	q.GetBody = nil
 	q.Host = requestHost
 	prompt := 0
-	if strings.HasPrefix(p.path, "/stream") {
+	if strings.HasPrefix(path, "/stream") {
 		prompt = 500
 	}
-	id := fmt.Sprintf("%s-%d", p.path, p.sent)
+	id := fmt.Sprintf("%s-%d", path, p.sent)
 	wire.SetCallerHeaders(q.Header, id, int(maxWait.Milliseconds()), prompt)
+	if p.part != "" {
+		wire.SetPromptParts(q.Header, fmt.Sprintf("%s:200,%s:200,%08x:100", commonPart, p.part, p.random.Uint32()))
+	}
 	p.checker.recordRequest(id, entry, false)
 	a, err := p.client.Do(q)
 	if err != nil {
@@ -118,7 +156,15 @@
 // them, and that a request runs again after an operator has lifted its block. The number of servers
 // that undetected requests may still crash is bounded by maxLateCrashes.
 func (s *soak) checkLists(ctx context.Context) {
-	for _, path := range s.checker.detectable() {
+	for _, part := range s.checker.detectable(true) {
+		p := newPartPoisoner(s.fleet, s.checker, s.options.Seed, 0, part)
+		if !waitFor(ctx, recoveryTimeout, func() bool {
+			return p.sendOne(ctx)
+		}) {
+			s.checker.recordViolation("a part that crashes servers is refused after recovery", part, "requests with it are still forwarded")
+		}
+	}
+	for _, path := range s.checker.detectable(false) {
 		p := newPoisoner(s.fleet, s.checker, s.options.Seed, 0)
 		p.path = path
 		if !waitFor(ctx, recoveryTimeout, func() bool {
@@ -127,7 +173,7 @@
 			s.checker.recordViolation("a poison request is refused after recovery", path, "it is still forwarded")
 		}
 	}
-	want := len(s.checker.detectable())
+	want := len(s.checker.detectable(false))
 	for _, p := range s.fleet.controlHosts() {
 		n := 0
 		if !waitFor(ctx, recoveryTimeout, func() bool {
--- a/internal/soak/hingesoak/server.go
+++ b/internal/soak/hingesoak/server.go
@@ -150,6 +150,8 @@
 	case x.refuse(w, info.ID):
 	case strings.Contains(q.URL.Path, poisonMarker) && !info.Prefill:
 		x.crash(q.URL.Path)
+	case poisonPartOf(info.PromptParts) != "" && !info.Prefill:
+		x.crash(poisonPartOf(info.PromptParts))
 	case info.Prefill:
 		time.Sleep(20 * time.Millisecond)
 		wire.SetResponseHeaders(w.Header(), info.ID)
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -15,6 +15,8 @@
 //     signals to the processes, and with losses by a relay that all their datagrams pass.
 //  7. A poison request crashes each server that runs it. The server restarts after a
 //     delay under another name. The request is resent to any entry host under a new id.
+//     So does each decode engine that runs a request with a poison part; other requests with the part that all prompts
+//     share are answered.
 //  8. Servers in need state it in their answers for a while. An entry host that has received such an answer obeys it,
 //     whatever happens to other processes, until it is restarted or suspended itself.
 //  9. Tolerable losses leave no more control hosts lost at a time than the settings say; a host counts as lost while a
@@ -57,6 +59,8 @@
 	Duration time.Duration
 	// PoisonRequests is the number of different poison requests, each sent repeatedly.
 	PoisonRequests int
+	// PoisonParts is the number of different parts of prompts that crash servers; no two requests with one are alike.
+	PoisonParts int
 	// Needs makes servers state that they are in need.
 	Needs bool
 	// LateReports makes reports of servers arrive late, and again at other control hosts.
@@ -177,6 +181,11 @@
 			newPoisoner(s.fleet, s.checker, s.options.Seed, i).run(loadCtx)
 		})
 	}
+	for i := range s.options.PoisonParts {
+		s.load.Go(func() {
+			newPartPoisoner(s.fleet, s.checker, s.options.Seed, i, "").run(loadCtx)
+		})
+	}
 	s.load.Go(func() {
 		operator.run(loadCtx)
 	})
--- a/internal/soak/hingesoak/soak_test.go
+++ b/internal/soak/hingesoak/soak_test.go
@@ -38,6 +38,12 @@
 	runSeeds(t, "testdata/losses.txt")
 }
 
+// A part of prompts that crashes servers must be blocked despite the same faults, and requests with the part that all prompts share must not.
+// Otherwise callers with sound requests are refused, or servers crash one after the other.
+func TestSeedsBlockPoisonParts(t *testing.T) {
+	runSeeds(t, "testdata/parts.txt")
+}
+
 // A server that reports must be used again after its reports were late, and a configuration that has grown past a message's
 // size must be in force, despite the same faults. Otherwise callers of the server are refused, or served by old routes.
 func TestSeedsSurviveLateReportsAndGrowth(t *testing.T) {
@@ -101,6 +107,8 @@
 			o.Entries = n
 		case "poison":
 			o.PoisonRequests = n
+		case "parts":
+			o.PoisonParts = n
 		case "needs":
 			o.Needs = true
 		case "late":
