--- a/internal/membership/hingefollow/reportsim_test.go
+++ b/internal/membership/hingefollow/reportsim_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,8 +60,6 @@
 	// calmAt is when the last disturbance ends, agreedAt when all hosts began to say the same.
 	calmAt   time.Time
 	agreedAt time.Time
-	calls    atomic.Int64
-	bytes    atomic.Int64
 	// unusedTime adds up over servers that report and hosts how long a server wasn't used.
 	unusedTime time.Duration
 	faults     []string
@@ -190,7 +187,7 @@
 		Clock:     time.Now,
 		OnRecords: c.source.Merge,
 		Holds:     c.source.Holds,
-	}, s.link(s.links[c.id]), members)
+	}, s.links[c.id], members)
 	c.done = f.Done()
 	go func() {
 		_ = f.Run(ctx)
@@ -209,33 +206,13 @@
 		OnRecords: d.addRecords,
 		Holds:     d.holds,
 		Lacked:    d.lacked,
-	}, s.link(s.network.Link(id)), []hingeids.HostID{s.controls[0].id})
+	}, s.network.Link(id), []hingeids.HostID{s.controls[0].id})
 	s.followers = append(s.followers, f)
 	go func() {
 		_ = f.Run(s.ctx)
 	}()
 }
 
-// meteredLink counts what hosts send each other.
-type meteredLink struct {
-	hingelink.Link
-	sim *reportSim
-}
-
-func (s *reportSim) link(l hingelink.Link) hingelink.Link {
-	return meteredLink{
-		Link: l,
-		sim:  s,
-	}
-}
-
-func (l meteredLink) Call(ctx context.Context, to hingeids.HostID, m hingelink.Method, body []byte) ([]byte, error) {
-	b, err := l.Link.Call(ctx, to, m, body)
-	l.sim.calls.Add(1)
-	l.sim.bytes.Add(int64(len(body) + len(b)))
-	return b, err
-}
-
 // moment returns a random time within the disturbed time.
 func (s *reportSim) moment() time.Time {
 	return s.begun.Add(quietTime + s.within(disturbedTime))
