A host that knows no members yet concludes nothing from that

Found in reading the change once more: a control host that was just started knows no members until it has found its group. It acknowledged a leaving alone, as if it were the only member, so that its loss reverted the leaving; and it took over every record that an entry host returned to it, as if all owners were gone. Now only the one member of a group acknowledges alone, and records keep their owner while no members are known.

TestHostThatKnowsNoMembersConcludesNothing before: a leaving is acknowledged with no member known, and a record of control-2 is taken over.

--- a/internal/membership/hingefollow/holders.go
+++ b/internal/membership/hingefollow/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,9 +50,9 @@
 }
 
 // AwaitLeaving waits until another control host knows that a server leaves (rule 15). It returns ErrHeldHereOnly if none
-// does in time.
+// does in time. Only the one member of a group needs no other; a host that knows no members yet isn't one.
 func (s *Source) AwaitLeaving(ctx context.Context, id hingeids.ServerID) error {
-	if len(s.origin.GroupStatus().Members) <= 1 {
+	if slices.Equal(s.origin.GroupStatus().Members, []hingeids.HostID{s.host}) {
 		return nil
 	}
 	waitCtx, stop := context.WithTimeout(ctx, maxHoldWait)
--- a/internal/membership/hingefollow/holders_test.go
+++ b/internal/membership/hingefollow/holders_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/swifthinge/swifthinge/internal/core/hingeids"
+	"github.com/swifthinge/swifthinge/internal/membership/hingeannounce"
 )
 
 // maxLeavingTime is how long after its acknowledgement a leaving server may be given new work.
@@ -118,3 +121,30 @@
 		}
 	})
 }
+
+// Guards against a host that was just started, knows no members yet and acknowledges a leaving alone, or takes over the servers of all others.
+func TestHostThatKnowsNoMembersConcludesNothing(t *testing.T) {
+	withCluster(t, func(t *testing.T, x *cluster) {
+		host := x.hosts["control-1"]
+		for _, members := range [][]hingeids.HostID{nil, {"control-1"}} {
+			host.setStatus(GroupStatus{
+				Members: members,
+			})
+			host.source.HandleLeave(time.Now(), "server-1", 1)
+			err := host.source.AwaitLeaving(context.Background(), "server-1")
+			if alone := len(members) == 1; alone != (err == nil) {
+				t.Errorf("members %v: %v", members, err)
+			}
+		}
+		host.setStatus(GroupStatus{})
+		want := []hingeannounce.Record{
+			{
+				Announcement: announcement("server-2"),
+				Owner:        "control-2",
+			},
+		}
+		if diff := cmp.Diff(want, host.source.adopt(slices.Clone(want))); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/membership/hingefollow/returns.go
+++ b/internal/membership/hingefollow/returns.go
@@ -94,11 +94,12 @@
 }
 
 // adopt makes this host the owner of records whose owner is no control host any more, or nobody would notice that their
-// servers are silent. The next sequence number makes such a record win; a server that runs sends a newer one.
+// servers are silent. The next sequence number makes such a record win; a server that runs sends a newer one. A host that
+// knows no members yet can't tell and changes nothing.
 func (s *Source) adopt(records []hingeannounce.Record) []hingeannounce.Record {
 	members := s.origin.GroupStatus().Members
 	for i, r := range records {
-		if !slices.Contains(members, r.Owner) {
+		if len(members) > 0 && !slices.Contains(members, r.Owner) {
 			records[i].Owner = s.host
 			records[i].Announcement.Sequence++
 		}
