hingelog: entries for a host's new disk don't wait for the disk that it lost

Found in reading the change once more: the end of a transfer was reported for the member that the message was for. If that host had lost its disk meanwhile, the entries of over 256 KiB for its new disk, which had waited behind the same message, went on waiting for up to a minute, far beyond the time within which a replaced host has to catch up. The end now counts for the host.

Elections, leases and what is confirmed are not touched: the rule only says when entries are sent. TestEntriesForANewDiskWaitNoLongerThanTheTransfer; with the report by member both of its rows wait a minute.

--- a/internal/agreement/hingegroup/senders.go
+++ b/internal/agreement/hingegroup/senders.go
@@ -154,7 +154,7 @@
 	delivered := s.transferParts(ctx, m)
 	q.large.Store(false)
 	s.group.enqueue(ctx, func(now time.Time) {
-		s.group.member.log.TransferEnded(now, m.to, delivered)
+		s.group.member.log.TransferEnded(now, m.to.Host, delivered)
 	})
 }
 
--- a/internal/agreement/hingelog/replicate.go
+++ b/internal/agreement/hingelog/replicate.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/swifthinge/swifthinge/internal/core/hingeids"
 )
 
 // Errors of rejected proposals. A rejected proposal adds nothing to the log.
@@ -131,16 +133,18 @@
 	p.waitUntil = now.Add(maxTransfer)
 }
 
-// TransferEnded tells that a large message has been transferred to a member, or has failed. After a success the member's
-// answer is due within an election time.
-func (l *Log) TransferEnded(now time.Time, to Member, delivered bool) {
-	p := l.progress[to]
-	if p == nil || !p.waits(now) {
-		return
-	}
-	p.waitUntil = time.Time{}
-	if delivered {
-		p.waitUntil = now.Add(l.settings.ElectionTimeout)
+// TransferEnded tells that a large message has been transferred to a host, or has failed. After a success the member's
+// answer is due within an election time. The message may have been for a member whose disk the host has lost since;
+// entries for the one with the present disk waited for it too.
+func (l *Log) TransferEnded(now time.Time, to hingeids.HostID, delivered bool) {
+	for m, p := range l.progress {
+		if m.Host != to || !p.waits(now) {
+			continue
+		}
+		p.waitUntil = time.Time{}
+		if delivered {
+			p.waitUntil = now.Add(l.settings.ElectionTimeout)
+		}
 	}
 }
 
