A failed return of records has an event of its own

Found in reading the change once more: it was logged as revisionMissing (806), a configuration that wasn't fetched. Now recordsNotReturned (315). TestFailedReturnIsReported.

--- a/internal/membership/hingefollow/follow.go
+++ b/internal/membership/hingefollow/follow.go
@@ -234,6 +234,8 @@
 	Lacked func(named map[hingeannounce.Digest]bool) []hingeannounce.Record
 	// OnFetchError, if set, is called when a large configuration wasn't fetched, at most once in fetchErrorInterval.
 	OnFetchError func(from hingeids.HostID, err error)
+	// OnReturnError, if set, is called when a restarted control host didn't take back the records that it lacks.
+	OnReturnError func(to hingeids.HostID, err error)
 }
 
 // Follower polls the control hosts and publishes the newest state.
--- a/internal/membership/hingefollow/returns.go
+++ b/internal/membership/hingefollow/returns.go
@@ -77,7 +77,9 @@
 			stop()
 		}
 		if err != nil {
-			f.reportFetchError(f.settings.Clock(), id, eris.Wrapf(err, "return %d records to control host %s", len(records), id))
+			if f.settings.OnReturnError != nil {
+				f.settings.OnReturnError(id, eris.Wrapf(err, "return %d records to control host %s", len(records), id))
+			}
 			return
 		}
 	}
--- a/internal/membership/hingefollow/returns_test.go
+++ b/internal/membership/hingefollow/returns_test.go
@@ -43,6 +43,33 @@
 	}
 }
 
+// Guards against a failed return of records that nobody sees, or that is reported as a configuration that wasn't fetched.
+func TestFailedReturnIsReported(t *testing.T) {
+	withCluster(t, func(t *testing.T, x *cluster) {
+		fetches, returns := 0, 0
+		f := New(Settings{
+			Self:      "entry-1",
+			EntryHost: true,
+			Clock:     time.Now,
+			OnFetchError: func(hingeids.HostID, error) {
+				fetches++
+			},
+			OnReturnError: func(hingeids.HostID, error) {
+				returns++
+			},
+		}, x.network.Link("entry-1"), nil)
+		f.returnRecords(x.ctx, "control-lost", []hingeannounce.Record{
+			{
+				Announcement: announcement("server-1"),
+				Owner:        "control-1",
+			},
+		})
+		if fetches != 0 || returns != 1 {
+			t.Errorf("%d failed fetches and %d failed returns were reported, want 0 and 1", fetches, returns)
+		}
+	})
+}
+
 // startControlHosts restarts the control hosts of a cluster, and has them follow each other.
 func (x *cluster) startControlHosts() {
 	for _, id := range []hingeids.HostID{"control-1", "control-2"} {
--- a/internal/observe/hingeevents/membership.go
+++ b/internal/observe/hingeevents/membership.go
@@ -13,6 +13,7 @@
 	DirectoryFull       Number = 313
 	// RecordContradicted is recorded at most once a second.
 	RecordContradicted Number = 314
+	RecordsNotReturned Number = 315
 )
 
 var membershipEntries = []Entry{
@@ -75,4 +76,11 @@
 		Description: "A report of a backend server arrived late, or a second time, at the control host named, which took the server over; this host has a newer one and sent its record again. count is the number since the last such event.",
 		Action:      "If such events go on, check the path between the server and the control hosts.",
 	},
+	{
+		Number:      RecordsNotReturned,
+		Name:        "recordsNotReturned",
+		Severity:    Warning,
+		Description: "A control host that was restarted didn't take the records of backend servers that it lacks from this entry host; other entry hosts return the same.",
+		Action:      "Check the link to the host that the event names, if servers that are gone go on being used.",
+	},
 }
--- a/internal/serve/hingefront/front.go
+++ b/internal/serve/hingefront/front.go
@@ -131,6 +131,12 @@
 				Detail: err.Error(),
 			})
 		},
+		OnReturnError: func(to hingeids.HostID, err error) {
+			f.record(hingeevents.RecordsNotReturned, hingeevents.Fields{
+				Host:   to,
+				Detail: err.Error(),
+			})
+		},
 	}, f.link, o.Seeds)
 	f.owner = hingeplacer.NewOwner(o.Instance.Host, f.link, f, hingeclock.BootTime, o.Recorder, o.QuotaParams)
 	f.tunnels = hingetunnel.New(hingetunnel.Settings{
