A leaving that another host's record lacks is told to that host before it counts as known

Found in reading the change once more: if a newer record without the leaving was merged before another control host had asked for the leaving, it counted as another host's and was acknowledged though this host alone held it. Now what this host adds to a record is its own change: it is sent as a record, and the acknowledgement waits for it.

TestLeavingThatASenderLacksIsThisHostsOwn before: taken for the other host's.

--- a/internal/membership/hingeannounce/directory.go
+++ b/internal/membership/hingeannounce/directory.go
@@ -208,14 +208,16 @@
 	if r.compare(e.newestRecord()) <= 0 {
 		return d.applyLeaving(e, r.Announcement, false) || d.contradict(e, r)
 	}
-	r.Announcement.Leaving = r.Announcement.Leaving || current.leavingAs(r.Announcement.Incarnation)
+	// The sender of a record without the leaving that is known here doesn't know it, and has to be told.
+	addsLeaving := !r.Announcement.Leaving && current.leavingAs(r.Announcement.Incarnation)
+	r.Announcement.Leaving = r.Announcement.Leaving || addsLeaving
 	if newer(r.Announcement, current.Announcement) {
 		d.startInstance(e, r.Announcement.Incarnation)
 		e.lastSeen = now
 	}
 	e.record = r
 	e.newest = r.Announcement.Sequence
-	d.recordChange(e, false)
+	d.recordChange(e, addsLeaving)
 	return true
 }
 
--- a/internal/membership/hingeannounce/late_test.go
+++ b/internal/membership/hingeannounce/late_test.go
@@ -142,3 +142,31 @@
 	}
 	return true
 }
+
+// Guards against a leaving that is taken for known to another host, and acknowledged, because that host has sent a newer record without it.
+func TestLeavingThatASenderLacksIsThisHostsOwn(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	report := Announcement{
+		Server:      "app-1",
+		Incarnation: 1,
+		Sequence:    1,
+		Kind:        Service,
+		Address:     "10.0.0.1:80",
+		Service:     "app",
+	}
+	for _, leaving := range []bool{false, true} {
+		d := NewDirectory("control-1")
+		d.Receive(now, report)
+		d.MarkLeaving(now, "app-1", 1)
+		other := report
+		other.Sequence = 2
+		other.Leaving = leaving
+		d.Merge(now, Record{
+			Announcement: other,
+			Owner:        "control-2",
+		})
+		if _, local := d.LocalLeaving("app-1"); local == leaving {
+			t.Errorf("the sender knows the leaving: %v; this host takes it for its own: %v", leaving, local)
+		}
+	}
+}
--- a/internal/membership/hingefollow/source.go
+++ b/internal/membership/hingefollow/source.go
@@ -200,7 +200,7 @@
 	}
 	switch {
 	case s.directory.LocalChange() != local:
-		// This host has contradicted a record of another.
+		// This host has contradicted a record of another, or added a leaving to it.
 		s.changes.notifyLocal(now, s.directory.LastRemoval())
 	case changed:
 		s.changes.notify(s.directory.LastRemoval())
