TestLongestIdleConnectionsAreClosedFirst waits until the server counts a connection as idle

A caller has its answer before the server marks the connection idle, so that on a busy machine the connections became idle in another order than the test assumed, and another one was closed. The test waits for each now; what it checks is the same.

--- a/internal/path/hingewire/idle_test.go
+++ b/internal/path/hingewire/idle_test.go
@@ -82,12 +82,16 @@
 	s, address := start(t, func(_ context.Context, _ *Request, w *Writer) {
 		w.WriteResponse(http.StatusOK, http.Header{}, []byte("ok"))
 	})
-	open := idleConnections(t, address, 6)
+	var open []net.Conn
+	for i := range 6 {
+		open = append(open, idleConnections(t, address, 1)...)
+		awaitIdle(t, s, i+1)
+	}
 	// The first two are used again, so the next two have been idle for the longest time.
-	time.Sleep(20 * time.Millisecond)
-	exchangeOn(t, open[0])
-	exchangeOn(t, open[1])
-	time.Sleep(20 * time.Millisecond)
+	for _, c := range open[:2] {
+		exchangeOn(t, c)
+		awaitIdle(t, s, len(open))
+	}
 	s.closeLongestIdle(2)
 	for i, c := range open {
 		if wantClosed := i == 2 || i == 3; !wantClosed {
@@ -100,3 +104,24 @@
 		}
 	}
 }
+
+// awaitIdle waits until n connections are idle for the server: a caller has its answer before that.
+func awaitIdle(t *testing.T, s *Server, n int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		idle := 0
+		s.mu.Lock()
+		for c := range s.conns {
+			if _, is := c.idleSince(); is {
+				idle++
+			}
+		}
+		s.mu.Unlock()
+		if idle == n {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections are idle, want %d", idle, n)
+		}
+	}
+}
