TestReplicaThatLeavesGetsNoMoreRequests counts once the replica has stated that it leaves

Traced by the times of the replica's requests: in all of 10 failures of 360 runs it had got no request in which to state anything, and the one counted was the first.

--- a/internal/path/hingeproxy/notice_test.go
+++ b/internal/path/hingeproxy/notice_test.go
@@ -110,8 +110,15 @@
 		t.Fatal("the replica got no request before it left")
 	}
 	leaving.Store(true)
-	sendFor(hosts, "/lookup/7", 10*time.Millisecond, 300*time.Millisecond)
+	// Most requests go to the other replica, so this one has to get one before it can state anything.
 	before := leaves.ran()
+	for deadline := time.Now().Add(20 * time.Second); leaves.ran() == before; {
+		if time.Now().After(deadline) {
+			t.Fatal("the replica got no request in which to state that it leaves")
+		}
+		sendFor(hosts, "/lookup/7", 10*time.Millisecond, 300*time.Millisecond)
+	}
+	before = leaves.ran()
 	for _, a := range sendFor(hosts, "/lookup/7", 10*time.Millisecond, time.Second) {
 		if a.Status != http.StatusOK {
 			t.Fatalf("status %d beside a replica that stays", a.Status)
