TestRequestWaitsForTheFirstConfiguration takes its time before the timer starts

The timer was started before the time was taken, so that a pause between the two shortened what was measured.

--- a/internal/path/hingeproxy/start_test.go
+++ b/internal/path/hingeproxy/start_test.go
@@ -19,10 +19,10 @@
 	table := w.Table()
 	w.set(nil)
 	d.proxy.settings.StartedAt = time.Now()
+	began := time.Now()
 	time.AfterFunc(300*time.Millisecond, func() {
 		w.set(table)
 	})
-	began := time.Now()
 	want := result{
 		Status:   http.StatusOK,
 		Body:     "lot 7 is alive",
