--- a/internal/soak/hingesoak/load.go
+++ b/internal/soak/hingesoak/load.go
@@ -79,7 +79,7 @@
 		prompt = 500
 	}
 	wire.SetCallerHeaders(q.Header, id, int(maxWait.Milliseconds()), prompt)
-	if stream {
+	if stream && c.fleet.options.PoisonParts > 0 {
 		wire.SetPromptParts(q.Header, fmt.Sprintf("%s:200,%08x:300", commonPart, xxhash.Sum64String(id)>>32))
 	}
 	c.checker.recordRequest(id, entry, strings.HasPrefix(path, "/once/"))
--- a/internal/soak/hingesoak/poison.go
+++ b/internal/soak/hingesoak/poison.go
@@ -17,7 +17,7 @@
 // poisonMarker is the part of the path that identifies a poison request.
 const poisonMarker = "/poison-"
 
-// commonPart is a part of all prompts, poisonPart the prefix of the parts that crash servers.
+// commonPart is a part of all prompts in runs with poison parts, poisonPart the prefix of the parts that crash servers.
 const (
 	commonPart = "c0ffee01"
 	poisonPart = "badbad0"
--- a/internal/soak/hingesoak/soak.go
+++ b/internal/soak/hingesoak/soak.go
@@ -59,7 +59,8 @@
 	Duration time.Duration
 	// PoisonRequests is the number of different poison requests, each sent repeatedly.
 	PoisonRequests int
-	// PoisonParts is the number of different parts of prompts that crash servers; no two requests with one are alike.
+	// PoisonParts is the number of different parts of prompts that crash servers; no two requests with one are alike. All
+	// other prompts then have a part in common.
 	PoisonParts int
 	// Needs makes servers state that they are in need.
 	Needs bool
